--- /dev/null
+++ b/core/document/decode.go
@@ -0,0 +1,200 @@
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"marjoramsaddle/core/id"
+)
+
+// Error names a fault in a document and its remedy.
+type Error struct {
+	File     string
+	Document Key
+	Field    string
+	Problem  string
+	Remedy   string
+}
+
+// Error returns the place, the problem and the remedy.
+func (e *Error) Error() string {
+	text := ""
+	if e.File != "" {
+		text = e.File + ": "
+	}
+	if e.Document.Kind != "" {
+		text += e.Document.String() + ": "
+	}
+	if e.Field != "" {
+		text += e.Field + ": "
+	}
+	return text + e.Problem + ": " + e.Remedy
+}
+
+// Set is a whole set of documents.
+type Set struct {
+	Services       map[id.Service]Service
+	Proxies        map[id.Host]Proxy
+	Configurations map[string]Configuration
+	// Canonical holds each document as JSON with sorted keys. It is derived
+	// from the bytes and not from the structs above, so that two builds of the
+	// daemon agree on it.
+	Canonical map[Key][]byte
+
+	files map[Key]string
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{
+		Services:       map[id.Service]Service{},
+		Proxies:        map[id.Host]Proxy{},
+		Configurations: map[string]Configuration{},
+		Canonical:      map[Key][]byte{},
+		files:          map[Key]string{},
+	}
+}
+
+// Keys returns the keys of all documents in order.
+func (s *Set) Keys() []Key {
+	keys := make([]Key, 0, len(s.Canonical))
+	for key := range s.Canonical {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+func compareKeys(a, b Key) int {
+	switch {
+	case a.Less(b):
+		return -1
+	case b.Less(a):
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Add decodes a JSON array of documents from the named file into the set.
+func (s *Set) Add(file string, data []byte) error {
+	var raws []json.RawMessage
+	if err := decodeWhole(data, &raws); err != nil {
+		return &Error{File: file, Problem: err.Error(), Remedy: "write a JSON array of documents"}
+	}
+	for index, raw := range raws {
+		if err := s.AddDocument(file, raw); err != nil {
+			var fault *Error
+			if errors.As(err, &fault) && fault.Document.Kind == "" {
+				fault.Field = fmt.Sprintf("document %d", index)
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// AddDocument decodes one document into the set.
+func (s *Set) AddDocument(file string, raw []byte) error {
+	var key Key
+	if err := json.Unmarshal(raw, &key); err != nil {
+		return &Error{File: file, Problem: err.Error(), Remedy: "write a JSON object with kind and name"}
+	}
+	if key.Name == "" {
+		return &Error{File: file, Document: key, Field: "name", Problem: "missing", Remedy: "name the document"}
+	}
+	if first, exists := s.files[key]; exists {
+		return &Error{File: file, Document: key, Problem: "defined twice, first in " + first, Remedy: "remove one of them"}
+	}
+	if err := s.decodeKind(key, raw); err != nil {
+		var fault *Error
+		if errors.As(err, &fault) {
+			fault.File = file
+			return fault
+		}
+		return &Error{File: file, Document: key, Problem: err.Error(), Remedy: "correct the field; see the JSON Schema"}
+	}
+	canonical, err := Canonicalize(raw)
+	if err != nil {
+		return &Error{File: file, Document: key, Problem: err.Error(), Remedy: "write valid JSON"}
+	}
+	s.Canonical[key] = canonical
+	s.files[key] = file
+	return nil
+}
+
+func (s *Set) decodeKind(key Key, raw []byte) error {
+	switch key.Kind {
+	case KindService:
+		return decodeInto(raw, s.Services, id.Service(key.Name))
+	case KindProxy:
+		return decodeInto(raw, s.Proxies, id.Host(key.Name))
+	case KindConfiguration:
+		return decodeInto(raw, s.Configurations, key.Name)
+	default:
+		return &Error{
+			Document: key, Field: "kind", Problem: fmt.Sprintf("unknown kind %q", key.Kind),
+			Remedy: "use service, proxy or configuration",
+		}
+	}
+}
+
+func decodeInto[K comparable, V any](raw []byte, into map[K]V, name K) error {
+	var value V
+	if err := decodeWhole(raw, &value); err != nil {
+		return err
+	}
+	into[name] = value
+	return nil
+}
+
+// decodeWhole decodes exactly one JSON value and refuses unknown fields and
+// trailing data.
+func decodeWhole(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the end of the JSON value")
+	}
+	return nil
+}
+
+// Canonicalize returns the JSON value with sorted keys and no white space.
+func Canonicalize(raw []byte) ([]byte, error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return nil, err
+	}
+	return json.Marshal(value)
+}
+
+// Without returns a copy of the set that lacks the given documents. The copy
+// shares the documents themselves, which are never changed.
+func (s *Set) Without(dropped map[Key]bool) *Set {
+	out := NewSet()
+	for key, canonical := range s.Canonical {
+		if dropped[key] {
+			continue
+		}
+		out.Canonical[key] = canonical
+		out.files[key] = s.files[key]
+		switch key.Kind {
+		case KindService:
+			out.Services[id.Service(key.Name)] = s.Services[id.Service(key.Name)]
+		case KindProxy:
+			out.Proxies[id.Host(key.Name)] = s.Proxies[id.Host(key.Name)]
+		case KindConfiguration:
+			out.Configurations[key.Name] = s.Configurations[key.Name]
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/kernel/action.go
@@ -0,0 +1,116 @@
+package kernel
+
+import (
+	"marjoramsaddle/core/endpoint"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/manifest"
+	"marjoramsaddle/core/message"
+	"marjoramsaddle/core/snapshot"
+)
+
+type (
+	// Send sends a message on the link to a peer.
+	Send struct {
+		Host  id.Host
+		Frame *message.Frame
+	}
+
+	// Dial opens a control link. LinkUp or LinkDown follows. Host is empty
+	// for a seed whose name is not known.
+	Dial struct {
+		Host    id.Host
+		Address string
+	}
+
+	// Hangup closes the link to a peer.
+	Hangup struct{ Host id.Host }
+
+	// ReadManifest reads the manifest. With After above zero the read waits on
+	// the platform until the index has passed After. ManifestRead or
+	// ReadFailed follows.
+	ReadManifest struct {
+		After      id.Version
+		Consistent bool
+	}
+
+	// ReadPart reads one part. PartRead or ReadFailed follows.
+	ReadPart struct{ Part manifest.Part }
+
+	// ReadHosts reads the host list of a failure domain, as ReadManifest does.
+	ReadHosts struct {
+		Domain id.Domain
+		After  id.Version
+	}
+
+	// StopReading ends all reads that wait on the platform.
+	StopReading struct{}
+
+	// Publish puts a view in force for traffic.
+	Publish struct {
+		View     *snapshot.View
+		Snapshot *snapshot.Snapshot
+	}
+
+	// PublishEndpoints replaces the endpoints that traffic sees.
+	PublishEndpoints struct{ Entries []endpoint.Entry }
+
+	// SetReady changes whether traffic is served.
+	SetReady struct{ Ready Readiness }
+
+	// AnswerStatus answers StatusRequested.
+	AnswerStatus struct {
+		ID     uint64
+		Census []*message.DomainCensus
+	}
+
+	// Count adds one to a counter of the kernel.
+	Count struct {
+		Name  string
+		Label string
+	}
+
+	// Log writes a line with the prefix of a part.
+	Log struct {
+		Part string
+		Text string
+	}
+)
+
+// ActionName returns the name of the action in traces.
+func (Send) ActionName() string { return "send" }
+
+// ActionName returns the name of the action in traces.
+func (Dial) ActionName() string { return "dial" }
+
+// ActionName returns the name of the action in traces.
+func (Hangup) ActionName() string { return "hangup" }
+
+// ActionName returns the name of the action in traces.
+func (ReadManifest) ActionName() string { return "read_manifest" }
+
+// ActionName returns the name of the action in traces.
+func (ReadPart) ActionName() string { return "read_part" }
+
+// ActionName returns the name of the action in traces.
+func (ReadHosts) ActionName() string { return "read_hosts" }
+
+// ActionName returns the name of the action in traces.
+func (StopReading) ActionName() string { return "stop_reading" }
+
+// ActionName returns the name of the action in traces.
+func (Publish) ActionName() string { return "publish" }
+
+// ActionName returns the name of the action in traces.
+func (PublishEndpoints) ActionName() string { return "publish_endpoints" }
+
+// ActionName returns the name of the action in traces.
+func (SetReady) ActionName() string { return "set_ready" }
+
+// ActionName returns the name of the action in traces.
+func (AnswerStatus) ActionName() string { return "answer_status" }
+
+// ActionName returns the name of the action in traces.
+func (Count) ActionName() string { return "count" }
+
+// ActionName returns the name of the action in traces.
+func (Log) ActionName() string { return "log" }
--- /dev/null
+++ b/core/manifest/manifest.go
@@ -0,0 +1,104 @@
+// Package manifest holds the platform's entry point to one configuration: the
+// list of its parts with their hashes. Parts are immutable and named by their
+// hash, so a configuration assembled from a manifest is never a mixture of
+// two publications.
+//
+// Usage:
+//
+//	m, err := manifest.Decode(data)
+//	for _, part := range m.Parts {
+//		fetch(part.Key())
+//	}
+package manifest
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+)
+
+// The keys of the platform.
+const (
+	Key        = "marjoramsaddle/manifest"
+	PartPrefix = "marjoramsaddle/parts/"
+	HostPrefix = "marjoramsaddle/hosts/"
+)
+
+// Format is the only manifest format that this build accepts. The validation
+// rules of a format never change, so that builds of different age agree.
+const Format = 1
+
+// MaxPartBytes is the platform's limit for one value.
+const MaxPartBytes = 1 << 20
+
+// maxParts bounds a configuration to 64 MiB.
+const maxParts = 64
+
+// Part is one immutable piece of a configuration.
+type Part struct {
+	SHA256 id.Digest `json:"sha256"`
+	Bytes  int       `json:"bytes"`
+}
+
+// Key returns the platform's key of the part.
+func (p Part) Key() string { return PartPrefix + p.SHA256.String() }
+
+// Manifest lists the parts of one configuration.
+type Manifest struct {
+	Format  int    `json:"format"`
+	Parts   []Part `json:"parts"`
+	Author  string `json:"author,omitempty"`
+	Comment string `json:"comment,omitempty"`
+}
+
+// Decode reads a manifest and checks its form.
+func Decode(data []byte) (*Manifest, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var m Manifest
+	if err := decoder.Decode(&m); err != nil {
+		return nil, fmt.Errorf("manifest: %w: build it with marjoramsaddle build", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("manifest: data after its end: build it with marjoramsaddle build")
+	}
+	if m.Format != Format {
+		return nil, fmt.Errorf("manifest: format %d is unknown: use format %d or upgrade the daemon", m.Format, Format)
+	}
+	if len(m.Parts) == 0 || len(m.Parts) > maxParts {
+		return nil, fmt.Errorf("manifest: %d parts: use 1 to %d", len(m.Parts), maxParts)
+	}
+	for _, part := range m.Parts {
+		if part.Bytes <= 0 || part.Bytes > MaxPartBytes {
+			return nil, fmt.Errorf("manifest: part %s has %d bytes: use 1 to %d", part.SHA256.Short(), part.Bytes, MaxPartBytes)
+		}
+	}
+	return &m, nil
+}
+
+// Assemble decodes the parts into one validated set of documents. The map
+// holds the bytes of each part by its hash.
+func (m *Manifest) Assemble(parts map[id.Digest][]byte) (*document.Set, error) {
+	set := document.NewSet()
+	for _, part := range m.Parts {
+		data, ok := parts[part.SHA256]
+		if !ok {
+			return nil, fmt.Errorf("part %s is missing: publish it before the manifest", part.SHA256.Short())
+		}
+		if id.DigestOf(data) != part.SHA256 {
+			return nil, fmt.Errorf("part %s has other content than its hash says: publish it again", part.SHA256.Short())
+		}
+		if err := set.Add("part "+part.SHA256.Short(), data); err != nil {
+			return nil, err
+		}
+	}
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
--- /dev/null
+++ b/core/snapshot/delta.go
@@ -0,0 +1,160 @@
+package snapshot
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+// MaxPayloadBytes bounds a decompressed payload.
+const MaxPayloadBytes = 64 << 20
+
+// ErrBase means that a delta was made against another base.
+var ErrBase = errors.New("delta does not fit the base: ask for the full snapshot")
+
+// Delta is the difference between two snapshots. Base zero makes it a full
+// snapshot.
+type Delta struct {
+	Base    id.Version
+	Version id.Version
+	Digest  id.Digest
+	// Payload is the compressed list of changes.
+	Payload []byte
+}
+
+// changes is the content of a payload.
+type changes struct {
+	Put    []json.RawMessage `json:"put,omitempty"`
+	Delete []document.Key    `json:"delete,omitempty"`
+}
+
+// Between returns the difference from base to target. A nil base gives the
+// full snapshot.
+func Between(base, target *Snapshot) (Delta, error) {
+	delta := Delta{Version: target.Version, Digest: target.Digest}
+	var baseSet *document.Set
+	if base != nil {
+		delta.Base = base.Version
+		baseSet = base.set
+	} else {
+		baseSet = document.NewSet()
+	}
+	payload, err := json.Marshal(diff(baseSet, target.set))
+	if err != nil {
+		return Delta{}, fmt.Errorf("encode delta: %w", err)
+	}
+	delta.Payload, err = compress(payload)
+	return delta, err
+}
+
+func diff(base, target *document.Set) changes {
+	var out changes
+	for _, key := range target.Keys() {
+		if !bytes.Equal(base.Canonical[key], target.Canonical[key]) {
+			out.Put = append(out.Put, target.Canonical[key])
+		}
+	}
+	for _, key := range base.Keys() {
+		if _, kept := target.Canonical[key]; !kept {
+			out.Delete = append(out.Delete, key)
+		}
+	}
+	return out
+}
+
+// Apply returns the snapshot that the delta leads to. It validates the whole
+// result and compares its hash with the delta's. The base stays as it is. A
+// nil base fits only a full snapshot.
+func (d Delta) Apply(base *Snapshot) (*Snapshot, error) {
+	if d.Base != 0 && (base == nil || base.Version != d.Base) {
+		return nil, ErrBase
+	}
+	payload, err := decompress(d.Payload)
+	if err != nil {
+		return nil, err
+	}
+	var list changes
+	if err := json.Unmarshal(payload, &list); err != nil {
+		return nil, fmt.Errorf("decode delta: %w", err)
+	}
+	set, err := list.apply(d.baseSet(base))
+	if err != nil {
+		return nil, err
+	}
+	result := New(d.Version, set)
+	if result.Digest != d.Digest {
+		return nil, ErrBase
+	}
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+func (d Delta) baseSet(base *Snapshot) *document.Set {
+	if d.Base == 0 {
+		return document.NewSet()
+	}
+	return base.set
+}
+
+func (c changes) apply(base *document.Set) (*document.Set, error) {
+	dropped := map[document.Key]bool{}
+	for _, key := range c.Delete {
+		dropped[key] = true
+	}
+	for _, raw := range c.Put {
+		var key document.Key
+		if err := json.Unmarshal(raw, &key); err != nil {
+			return nil, fmt.Errorf("decode delta: %w", err)
+		}
+		dropped[key] = true
+	}
+	set := base.Without(dropped)
+	for _, raw := range c.Put {
+		if err := set.AddDocument("", raw); err != nil {
+			return nil, err
+		}
+	}
+	return set, nil
+}
+
+// Describe lists the keys that differ, for reports.
+func Describe(base, target *Snapshot) (changed, removed []document.Key) {
+	list := diff(base.set, target.set)
+	for _, raw := range list.Put {
+		var key document.Key
+		if json.Unmarshal(raw, &key) == nil {
+			changed = append(changed, key)
+		}
+	}
+	return changed, slices.Clone(list.Delete)
+}
+
+func compress(data []byte) ([]byte, error) {
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(false))
+	if err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	return encoder.EncodeAll(data, nil), encoder.Close()
+}
+
+func decompress(data []byte) ([]byte, error) {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxPayloadBytes))
+	if err != nil {
+		return nil, fmt.Errorf("decompress: %w", err)
+	}
+	defer decoder.Close()
+	out, err := decoder.DecodeAll(data, nil)
+	if err != nil {
+		return nil, fmt.Errorf("decompress: %w", err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/core/snapshot/snapshot.go
@@ -0,0 +1,44 @@
+// Package snapshot holds one whole accepted configuration version, the
+// differences between two of them, and the view that one proxy runs.
+//
+// Usage:
+//
+//	snap := snapshot.New(version, set)
+//	view := snap.View("counter-reduit-1")
+//	route := view.Match("GET", "/stock/nails")
+package snapshot
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+)
+
+// Snapshot is one whole, validated configuration version. It is immutable.
+type Snapshot struct {
+	Version id.Version
+	Digest  id.Digest
+	set     *document.Set
+}
+
+// New returns the snapshot of a validated set.
+func New(version id.Version, set *document.Set) *Snapshot {
+	return &Snapshot{Version: version, Digest: digest(set), set: set}
+}
+
+// Documents returns the documents of the snapshot. The caller must not change
+// them.
+func (s *Snapshot) Documents() *document.Set { return s.set }
+
+// digest hashes the sorted list of keys and document hashes.
+func digest(set *document.Set) id.Digest {
+	sum := sha256.New()
+	for _, key := range set.Keys() {
+		content := sha256.Sum256(set.Canonical[key])
+		_, _ = fmt.Fprintf(sum, "%s\x00%s\x00", key.Kind, key.Name)
+		sum.Write(content[:])
+	}
+	return id.Digest(sum.Sum(nil))
+}
