--- a/core/snapshot/snapshot_test.go
+++ b/core/snapshot/snapshot_test.go
@@ -1,6 +1,7 @@
 package snapshot_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -21,6 +22,8 @@
   "service_selector":{"match_labels":{"team":"shop"}},"limits":{"queue_ms":70}}
 ]`
 
+const depot = `,{"kind":"service","name":"depot","slots":20,"connections":130}`
+
 func parse(t *testing.T, version id.Version, text string) *snapshot.Snapshot {
 	t.Helper()
 	set := document.NewSet()
@@ -50,15 +53,16 @@
 func TestDeltaNeedsItsBase(t *testing.T) {
 	is := is.New(t)
 	first := parse(t, 1, base)
-	second := parse(t, 2, `[{"kind":"service","name":"depot","slots":20,"connections":130}]`)
+	second := parse(t, 2, strings.TrimSuffix(base, "]")+depot+"]")
+	other := parse(t, 3, "["+strings.TrimPrefix(depot, ",")+"]")
 	delta, err := snapshot.Between(first, second)
 	is.NoErr(err)
 	got, err := delta.Apply(first)
 	is.NoErr(err)
 	is.Equal(got.Digest, second.Digest)
-	_, err = delta.Apply(second)
-	is.Equal(err, snapshot.ErrBase)
-	delta.Base = second.Version
-	_, err = delta.Apply(second)
-	is.Equal(err, snapshot.ErrBase)
+	_, err = delta.Apply(other)
+	is.Equal(err, snapshot.ErrBase) // the version of the base differs
+	delta.Base = other.Version
+	_, err = delta.Apply(other)
+	is.Equal(err, snapshot.ErrBase) // the hash of the result differs
 }
