--- /dev/null
+++ b/io/settings/settings.go
@@ -0,0 +1,252 @@
+// Package settings reads the JSON settings of one daemon. Unknown fields are
+// refused, and every error names the file, the field and the remedy.
+//
+// Usage:
+//
+//	s, err := settings.Load("daemon.json")
+//	if err != nil {
+//		return err // daemon.json: hop_address: missing: ...
+//	}
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+)
+
+// Settings of one daemon. Addresses are IP numbers with ports.
+type Settings struct {
+	Host          id.Host    `json:"host"`
+	FailureDomain id.Domain  `json:"failure_domain"`
+	Region        id.Region  `json:"region,omitempty"`
+	Service       id.Service `json:"service"`
+
+	// CallerAddress accepts calls from callers (TCP).
+	CallerAddress string `json:"caller_address"`
+	// ControlAddress accepts control links (UDP).
+	ControlAddress string `json:"control_address"`
+	// HopAddress accepts calls from other daemons (TCP, and UDP for HTTP/3).
+	HopAddress string `json:"hop_address"`
+	// OperatorAddress serves the operators' interface and the metrics (TCP).
+	OperatorAddress string `json:"operator_address"`
+	// BackendAddress is the backend server of this host.
+	BackendAddress string `json:"backend_address"`
+	// BackendHealthPath is the path of its health endpoint.
+	BackendHealthPath string `json:"backend_health_path,omitempty"`
+	// PlatformURL is the base address of the platform; empty means none.
+	PlatformURL string `json:"platform_url,omitempty"`
+
+	Seeds []kernel.Seed `json:"seeds,omitempty"`
+	TLS   TLS           `json:"tls"`
+
+	// HopTransport is http2 or http3.
+	HopTransport string `json:"hop_transport,omitempty"`
+	// DrainMS bounds a graceful shutdown, in milliseconds.
+	DrainMS int `json:"drain_ms,omitempty"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level,omitempty"`
+	// TraceEvents is the number of recent kernel events that are kept.
+	TraceEvents int `json:"trace_events,omitempty"`
+
+	Experiment Experiment `json:"experiment,omitempty"`
+}
+
+// TLS names the files of the daemon's certificate, its key and the authority
+// that signs the certificates of all daemons.
+type TLS struct {
+	CertificateFile string `json:"certificate_file"`
+	KeyFile         string `json:"key_file"`
+	AuthorityFile   string `json:"authority_file"`
+}
+
+// Experiment selects baselines and switches mechanisms off for measurements.
+// Production settings leave it empty.
+type Experiment struct {
+	// Strategy is delta, full or poll.
+	Strategy string `json:"strategy,omitempty"`
+	// Balance is the name of a policy for the choice of backend servers.
+	Balance     string `json:"balance,omitempty"`
+	NoFloor     bool   `json:"no_floor,omitempty"`
+	NoWitness   bool   `json:"no_witness,omitempty"`
+	AcceptOlder bool   `json:"accept_older,omitempty"`
+	// NoRetryBudget lets retries exceed their budget.
+	NoRetryBudget bool `json:"no_retry_budget,omitempty"`
+}
+
+// The values of fields that are not set.
+const (
+	defaultDrainMS     = 600_000
+	defaultTraceEvents = 4096
+	defaultHealthPath  = "/healthz"
+	// HTTP2 and HTTP3 are the values of HopTransport.
+	HTTP2 = "http2"
+	HTTP3 = "http3"
+)
+
+// Error names a fault in the settings and its remedy.
+type Error struct {
+	File    string
+	Field   string
+	Problem string
+	Remedy  string
+}
+
+// Error returns the place, the problem and the remedy.
+func (e *Error) Error() string {
+	text := e.File + ": "
+	if e.Field != "" {
+		text += e.Field + ": "
+	}
+	return text + e.Problem + ": " + e.Remedy
+}
+
+// Load reads and checks the settings in a file.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &Error{File: file, Problem: err.Error(), Remedy: "name a readable settings file"}
+	}
+	return Parse(file, data)
+}
+
+// Parse checks settings that were read from the named file.
+func Parse(file string, data []byte) (*Settings, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	var s Settings
+	if err := decoder.Decode(&s); err != nil {
+		return nil, &Error{File: file, Problem: err.Error(), Remedy: "correct the field; see docs/operations.md"}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, &Error{File: file, Problem: "data after the settings", Remedy: "keep one JSON object"}
+	}
+	s.setDefaults()
+	if err := s.check(); err != nil {
+		err.File = file
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) setDefaults() {
+	if s.DrainMS == 0 {
+		s.DrainMS = defaultDrainMS
+	}
+	if s.TraceEvents == 0 {
+		s.TraceEvents = defaultTraceEvents
+	}
+	if s.BackendHealthPath == "" {
+		s.BackendHealthPath = defaultHealthPath
+	}
+	if s.HopTransport == "" {
+		s.HopTransport = HTTP2
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+}
+
+func (s *Settings) check() *Error {
+	required := []struct{ field, value string }{
+		{"host", string(s.Host)},
+		{"failure_domain", string(s.FailureDomain)},
+		{"service", string(s.Service)},
+		{"tls.certificate_file", s.TLS.CertificateFile},
+		{"tls.key_file", s.TLS.KeyFile},
+		{"tls.authority_file", s.TLS.AuthorityFile},
+	}
+	for _, one := range required {
+		if one.value == "" {
+			return &Error{Field: one.field, Problem: "missing", Remedy: "set it"}
+		}
+	}
+	if err := s.checkAddresses(); err != nil {
+		return err
+	}
+	return s.checkChoices()
+}
+
+func (s *Settings) checkAddresses() *Error {
+	addresses := []struct{ field, value string }{
+		{"caller_address", s.CallerAddress},
+		{"control_address", s.ControlAddress},
+		{"hop_address", s.HopAddress},
+		{"operator_address", s.OperatorAddress},
+		{"backend_address", s.BackendAddress},
+	}
+	for _, address := range addresses {
+		if err := checkAddress(address.field, address.value); err != nil {
+			return err
+		}
+	}
+	for index, seed := range s.Seeds {
+		if err := checkAddress(fmt.Sprintf("seeds[%d].address", index), seed.Address); err != nil {
+			return err
+		}
+	}
+	if s.PlatformURL == "" {
+		return nil
+	}
+	if parsed, err := url.Parse(s.PlatformURL); err != nil || parsed.Host == "" {
+		return &Error{Field: "platform_url", Problem: fmt.Sprintf("%q is not a URL", s.PlatformURL), Remedy: "write it like http://192.0.2.1:8500"}
+	}
+	return nil
+}
+
+func checkAddress(field, value string) *Error {
+	host, _, err := net.SplitHostPort(value)
+	if err == nil && net.ParseIP(host) != nil {
+		return nil
+	}
+	return &Error{
+		Field: field, Problem: fmt.Sprintf("%q is not an IP number with a port", value),
+		Remedy: "write it like 192.0.2.1:7000",
+	}
+}
+
+func (s *Settings) checkChoices() *Error {
+	if s.HopTransport != HTTP2 && s.HopTransport != HTTP3 {
+		return &Error{Field: "hop_transport", Problem: fmt.Sprintf("unknown value %q", s.HopTransport), Remedy: "use http2 or http3"}
+	}
+	if _, ok := kernel.ParseStrategy(s.strategyName()); !ok {
+		return &Error{Field: "experiment.strategy", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Strategy), Remedy: "use delta, full or poll"}
+	}
+	if s.DrainMS < 0 || s.TraceEvents < 0 {
+		return &Error{Field: "drain_ms, trace_events", Problem: "negative", Remedy: "use 0 or more"}
+	}
+	return nil
+}
+
+func (s *Settings) strategyName() string {
+	if s.Experiment.Strategy == "" {
+		return kernel.Delta.String()
+	}
+	return s.Experiment.Strategy
+}
+
+// Options returns the kernel options that the settings select.
+func (s *Settings) Options() kernel.Options {
+	strategy, _ := kernel.ParseStrategy(s.strategyName())
+	return kernel.Options{
+		Strategy:    strategy,
+		NoFloor:     s.Experiment.NoFloor,
+		NoWitness:   s.Experiment.NoWitness,
+		AcceptOlder: s.Experiment.AcceptOlder,
+	}
+}
+
+// DrainDeadline returns when a graceful shutdown that starts at now ends at
+// the latest.
+func (s *Settings) DrainDeadline(now time.Time) time.Time {
+	return now.Add(time.Duration(s.DrainMS) * time.Millisecond)
+}
