--- /dev/null
+++ b/core/admission/gate_test.go
@@ -0,0 +1,203 @@
+package admission
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var classes = []document.Class{document.ClassOrder, document.ClassLookup, document.ClassInternal}
+
+// Guards against more running calls than slots, waiters that never end, and
+// tickets given after a deadline.
+func TestGateInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		gate := NewGate(slots, 130, WithQueueLength(3), WithRamp(20*time.Millisecond))
+		now := id.Instant(0)
+		var held []*Ticket
+		var waiting []*waiter
+		collect := func() {
+			open := waiting[:0]
+			for _, w := range waiting {
+				select {
+				case <-w.done:
+					if w.ticket != nil && (w.ticket.Granted >= w.queueDeadline || w.ticket.Granted >= w.deadline) {
+						t.Fatalf("ticket at %d after the deadlines %d and %d", w.ticket.Granted, w.queueDeadline, w.deadline)
+					}
+					if w.ticket != nil {
+						held = append(held, w.ticket)
+					}
+				default:
+					open = append(open, w)
+				}
+			}
+			waiting = open
+			if len(held) > slots {
+				t.Fatalf("%d calls run on %d slots", len(held), slots)
+			}
+		}
+		step := func() { now = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "ms")) * time.Millisecond) }
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				step()
+				wait := time.Duration(rapid.IntRange(-1, 20).Draw(t, "wait")) * time.Millisecond
+				ticket, w, _ := gate.offer(now, rapid.SampledFrom(classes).Draw(t, "class"), now.Add(wait*2), now.Add(wait))
+				if ticket != nil {
+					held = append(held, ticket)
+				}
+				if w != nil {
+					waiting = append(waiting, w)
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if len(held) == 0 {
+					t.Skip()
+				}
+				step()
+				ticket := held[0]
+				held = held[1:]
+				ticket.Leave(now)
+				ticket.Leave(now)
+			},
+			"abandon": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					t.Skip()
+				}
+				gate.abandon(waiting[0])
+				waiting = waiting[1:]
+			},
+			"resync": func(*rapid.T) { step(); gate.Resync(now) },
+			"":       func(*rapid.T) { collect() },
+		})
+		gate.Expire(now.Add(time.Second))
+		collect()
+		if len(waiting) != 0 {
+			t.Fatalf("%d calls still wait after every deadline", len(waiting))
+		}
+		gate.Drain()
+		for _, ticket := range held {
+			ticket.Leave(now)
+		}
+		<-gate.Idle()
+	})
+}
+
+// Guards against a collapse of goodput at twice the capacity, also when the
+// deadline is shorter than the queue deadline, and against a lost class.
+func TestGoodputAtTwiceCapacity(t *testing.T) {
+	tests := []struct {
+		name                   string
+		slots                  int
+		deadline, queue        time.Duration
+		service, arrivalPeriod time.Duration
+	}{
+		{"counter", 20, 250 * time.Millisecond, 100 * time.Millisecond, 20 * time.Millisecond, 500 * time.Microsecond},
+		{"storefront", 13, 250 * time.Millisecond, 100 * time.Millisecond, 26 * time.Millisecond, time.Millisecond},
+		{"tight deadline", 20, 60 * time.Millisecond, 100 * time.Millisecond, 20 * time.Millisecond, 500 * time.Microsecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const span = 10 * time.Second
+				is := is.New(t)
+				gate := NewGate(test.slots, 130)
+				clock := func() id.Instant { return id.InstantOf(time.Now()) }
+				end := clock().Add(span)
+				good := make(chan document.Class, 1<<16)
+				go func() {
+					for clock().Before(end.Add(time.Second)) {
+						time.Sleep(5 * time.Millisecond)
+						gate.Expire(clock())
+					}
+				}()
+				for call := 0; clock().Before(end); call++ {
+					go func() {
+						now, class := clock(), classes[call%len(classes)]
+						deadline := now.Add(test.deadline)
+						ticket, refused := gate.Enter(t.Context(), now, class, deadline, now.Add(test.queue))
+						if refused != nil {
+							is.Equal(refused.Outcome, refusal.NotRun)
+							return
+						}
+						// Service times spread by half around the mean.
+						time.Sleep(test.service/2 + test.service*time.Duration(call%5)/4)
+						ticket.Leave(clock())
+						if clock() <= deadline {
+							good <- class
+						}
+					}()
+					time.Sleep(test.arrivalPeriod)
+				}
+				time.Sleep(2 * time.Second)
+				capacity := float64(test.slots) * span.Seconds() / test.service.Seconds()
+				share := float64(len(good)) / capacity
+				counts := map[document.Class]int{}
+				for range len(good) {
+					counts[<-good]++
+				}
+				t.Logf("goodput share %.3f, by class %v", share, counts)
+				is.True(share > 0.9)                                                  // goodput
+				is.True(counts[document.ClassOrder] > counts[document.ClassInternal]) // priority
+				is.True(counts[document.ClassInternal] > 0)                           // no starvation
+			})
+		})
+	}
+}
+
+// Guards against slots that leak when a caller goes away, and against a drain
+// that cuts off running calls or accepts new ones.
+func TestCallerGoneAndDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		gate := NewGate(1, 130)
+		later := id.Instant(time.Hour)
+		ticket, refused := gate.Enter(t.Context(), 1, document.ClassOrder, later, later)
+		is.True(refused == nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			_, refused := gate.Enter(ctx, 2, document.ClassOrder, later, later)
+			is.Equal(refused.Reason, refusal.CallerGone)
+		}()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		go func() {
+			_, refused := gate.Enter(t.Context(), 3, document.ClassOrder, later, later)
+			is.Equal(refused.Reason, refusal.Leaving)
+		}()
+		synctest.Wait()
+		gate.Drain()
+		synctest.Wait()
+		select {
+		case <-gate.Idle():
+			t.Fatal("idle while a call runs")
+		default:
+		}
+		_, refused = gate.Enter(t.Context(), 4, document.ClassOrder, later, later)
+		is.Equal(refused.Reason, refusal.Leaving)
+		ticket.Leave(5)
+		<-gate.Idle()
+	})
+}
+
+func BenchmarkEnter(b *testing.B) {
+	gate := NewGate(1000, 1000)
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if ticket, refused := gate.Enter(ctx, 1, document.ClassOrder, 1000, 1000); refused == nil {
+				ticket.Leave(1)
+			}
+		}
+	})
+}
