--- /dev/null
+++ b/core/balance/chooser_test.go
@@ -0,0 +1,205 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"marjoramsaddle/core/endpoint"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const epoch = id.Instant(time.Hour)
+
+func fleet(domains, perDomain int) []endpoint.Entry {
+	entries := make([]endpoint.Entry, 0, domains*perDomain)
+	for domain := range domains {
+		for host := range perDomain {
+			entries = append(entries, endpoint.Entry{
+				Host:    id.Host(fmt.Sprintf("host-%d-%d", domain, host)),
+				Domain:  id.Domain(fmt.Sprintf("domain-%d", domain)),
+				Service: "counter",
+				Slots:   20,
+			})
+		}
+	}
+	return entries
+}
+
+// Guards against work for leaving, dead or excluded hosts, and for suspect
+// hosts while another host is left, under any order of changes and results.
+func TestChooserStates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := rapid.SampledFrom([]Policy{LeastLoaded, RoundRobin, Random}).Draw(t, "policy")
+		chooser := NewChooser("host-0-0", "domain-0", rapid.Uint64().Draw(t, "seed"), WithPolicy(policy), WithSubset(2))
+		entries, now := fleet(2, 3), epoch
+		chooser.SetEndpoints(entries)
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				entry := &entries[rapid.IntRange(0, len(entries)-1).Draw(t, "host")]
+				entry.State = endpoint.State(rapid.IntRange(0, 3).Draw(t, "state"))
+				entry.Incarnation += id.Incarnation(rapid.IntRange(0, 1).Draw(t, "restart"))
+				chooser.SetEndpoints(entries)
+			},
+			"call": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+				exclude := []id.Host{entries[rapid.IntRange(0, len(entries)-1).Draw(t, "exclude")].Host}
+				usable := map[endpoint.State]int{}
+				for _, entry := range entries {
+					if entry.Host != exclude[0] {
+						usable[entry.State]++
+					}
+				}
+				chosen, refused := chooser.Choose("counter", now, exclude)
+				switch {
+				case refused != nil && (refused.Reason != refusal.NoEndpoint || usable[endpoint.Alive]+usable[endpoint.Suspect] > 0):
+					t.Fatalf("refused %v with usable hosts %v", refused, usable)
+				case refused != nil:
+					return
+				case chosen.Host == exclude[0]:
+					t.Fatal("chose an excluded host")
+				case chosen.State == endpoint.Leaving || chosen.State == endpoint.Dead:
+					t.Fatalf("chose a %v host", chosen.State)
+				case chosen.State == endpoint.Suspect && usable[endpoint.Alive] > 0:
+					t.Fatal("chose a suspect host while others are alive")
+				}
+				chooser.Started(chosen.Host)
+				chooser.Finished(chosen.Host, now, time.Millisecond, Result(rapid.IntRange(0, 3).Draw(t, "result")))
+			},
+		})
+	})
+}
+
+// load sends calls and returns how many each host got. Calls stay outstanding
+// when hold is set.
+func load(chooser *Chooser, now id.Instant, calls int, hold bool) map[id.Host]int {
+	got := map[id.Host]int{}
+	for range calls {
+		chosen, refused := chooser.Choose("counter", now, nil)
+		if refused != nil {
+			continue
+		}
+		got[chosen.Host]++
+		chooser.Started(chosen.Host)
+		if !hold {
+			chooser.Finished(chosen.Host, now, 5*time.Millisecond, Served)
+		}
+	}
+	return got
+}
+
+// Guards against calls that leave the own domain without need, and against
+// calls kept there when it is full or gone.
+func TestSpill(t *testing.T) {
+	is := is.New(t)
+	chooser := NewChooser("host-0-0", "domain-0", 1)
+	entries := fleet(2, 3)
+	chooser.SetEndpoints(entries)
+	near := func(got map[id.Host]int) int { return got["host-0-0"] + got["host-0-1"] + got["host-0-2"] }
+	is.Equal(near(load(chooser, epoch, 300, false)), 300) // idle: all stay
+	held := load(chooser, epoch, 120, true)
+	is.True(near(held) >= 57 && near(held) <= 70) // 60 slots near
+	for host, calls := range held {
+		is.True(calls <= 24) // none is overloaded
+		for range calls {
+			chooser.Finished(host, epoch, 5*time.Millisecond, Served)
+		}
+	}
+	for _, host := range []id.Host{"host-0-0", "host-0-1", "host-0-2"} {
+		chooser.Started(host)
+		chooser.Finished(host, epoch, time.Millisecond, Refused)
+	}
+	is.Equal(near(load(chooser, epoch, 100, false)), 0)                      // near refuses
+	is.Equal(near(load(chooser, epoch.Add(5*time.Second), 100, false)), 100) // and recovers
+	chooser.SetEndpoints(entries[3:])
+	is.Equal(near(load(chooser, epoch, 100, false)), 0) // near is gone
+}
+
+// Guards against a herd of all daemons on a host that has just started or has
+// returned from an ejection, and against its starvation afterwards.
+func TestNoHerd(t *testing.T) {
+	for _, kind := range []string{"started", "returned"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			entries, at := fleet(1, 10), epoch
+			if kind == "started" {
+				entries[0].Started = epoch
+			}
+			total := map[time.Duration]int{}
+			for daemon := range 100 {
+				chooser := NewChooser(id.Host(fmt.Sprint("caller-", daemon)), "domain-0", 7)
+				chooser.SetEndpoints(entries)
+				if kind == "returned" {
+					for range failuresToEject {
+						chooser.Started(entries[0].Host)
+						chooser.Finished(entries[0].Host, epoch.Add(-firstEjection), 0, Failed)
+					}
+					is.Equal(load(chooser, epoch.Add(-1), 100, false)[entries[0].Host], 0) // ejected
+				}
+				for _, age := range []time.Duration{0, 5 * time.Second, 20 * time.Second} {
+					total[age] += load(chooser, at.Add(age), 20, false)[entries[0].Host]
+				}
+			}
+			t.Logf("calls of 2000 by age: %v", total)
+			is.True(total[0] < 60)                                              // a tenth would be 200
+			is.True(total[5*time.Second] > 50 && total[5*time.Second] < 220)    // about half
+			is.True(total[20*time.Second] > 150 && total[20*time.Second] < 250) // full share
+		})
+	}
+}
+
+// Guards against the ejection of a whole subset when everything fails, and
+// against ejections that do not grow.
+func TestEjection(t *testing.T) {
+	is := is.New(t)
+	chooser := NewChooser("host-0-0", "domain-0", 1)
+	entries := fleet(1, 6)
+	chooser.SetEndpoints(entries)
+	fail := func(now id.Instant, host id.Host, count int) {
+		for range count {
+			chooser.Started(host)
+			chooser.Finished(host, now, 0, Failed)
+		}
+	}
+	for _, entry := range entries {
+		fail(epoch, entry.Host, 20)
+	}
+	is.Equal(len(load(chooser, epoch, 200, false)), 3) // half stay
+	now, host := epoch.Add(firstEjection), entries[0].Host
+	for doubling := 1; doubling < 9; doubling++ {
+		fail(now, host, 1)
+		span := firstEjection << min(doubling, maximumDoublings)
+		is.True(chooser.table.Load().hosts[host].seen.ejected(now.Add(span - 1)))
+		now = now.Add(span)
+		is.True(!chooser.table.Load().hosts[host].seen.ejected(now))
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, policy := range []Policy{LeastLoaded, RoundRobin, Random} {
+		b.Run(policy.String(), func(b *testing.B) {
+			chooser := NewChooser("host-0-0", "domain-0", 1, WithPolicy(policy))
+			chooser.SetEndpoints(fleet(4, 250))
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					chosen, _ := chooser.Choose("counter", epoch, nil)
+					chooser.Started(chosen.Host)
+					chooser.Finished(chosen.Host, epoch, time.Millisecond, Served)
+				}
+			})
+		})
+	}
+}
+
+func BenchmarkSetEndpoints(b *testing.B) {
+	chooser, entries := NewChooser("host-0-0", "domain-0", 1), fleet(4, 250)
+	b.ReportAllocs()
+	for b.Loop() {
+		chooser.SetEndpoints(entries)
+	}
+}
