Serve the operators' interface over HTTP

Cause: the goa design has no implementation. Ruled out: answering a trace as it is read, because a fault in the middle would look like a shorter trace; unlimited status requests, because each costs the whole fleet a message.

--- /dev/null
+++ b/io/operator/operator_test.go
@@ -0,0 +1,209 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/snapshot"
+	"marjoramsaddle/io/operator"
+)
+
+var rewrite = flag.Bool("rewrite", false, "rewrite the golden files")
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// source is a daemon with fixed answers.
+type source struct {
+	ready   kernel.Readiness
+	fault   error
+	trace   string
+	drained bool
+	block   chan struct{}
+}
+
+func (s *source) Host() id.Host               { return "counter-reduit-1" }
+func (s *source) Readiness() kernel.Readiness { return s.ready }
+func (s *source) Drain(context.Context) error {
+	s.drained, s.ready = true, kernel.Draining
+	return s.fault
+}
+func (s *source) Trace(w io.Writer) error { _, err := io.WriteString(w, s.trace); return err }
+
+func (s *source) Status(ctx context.Context) (operator.Status, error) {
+	if s.block != nil {
+		select {
+		case <-s.block:
+		case <-ctx.Done():
+			return operator.Status{}, ctx.Err()
+		}
+	}
+	return operator.Status{
+		// A clock that runs ahead must not give a negative age.
+		Held: 8, InForce: 7, AsOf: id.InstantOf(time.Now().Add(time.Hour)), IgnoredIndex: 3,
+		Domains: []operator.Domain{
+			{Name: "reduit", InForce: map[id.Host]id.Version{"b": 7, "a": 6, "c": 7}, Refused: map[id.Version]string{9: "no service"}},
+			{Name: "ebene", Unanswered: []id.Host{"z", "y"}},
+		},
+	}, s.fault
+}
+
+func (s *source) View(host id.Host) (*snapshot.View, error) {
+	set := document.NewSet()
+	err := set.Add("test", []byte(`[
+	 {"kind":"service","name":"counter","slots":20,"connections":130},
+	 {"kind":"proxy","name":"counter-reduit-1","labels":{"role":"counter"}},
+	 {"kind":"configuration","name":"base","limits":{"queue_ms":50},"routes":[
+	  {"name":"stock","path_prefix":"/stock","service":"counter","timeout_ms":900,"class":"lookup","idempotent":true}]}]`))
+	if err != nil {
+		return nil, err
+	}
+	if _, ok := set.Proxies[host]; !ok {
+		return nil, &operator.Error{Kind: operator.NotFound, Problem: "no proxy " + string(host), Remedy: "use a name from status"}
+	}
+	return snapshot.New(7, set).View(host), s.fault
+}
+
+func serve(t *testing.T, from operator.Source) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err := operator.New(listener, operator.Options{Source: from, Metrics: http.NotFoundHandler()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve() }()
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		if err := server.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// ask returns the status line and the body of an answer.
+func ask(t *testing.T, method, url, host string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = host
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("%d %s\n%s", response.StatusCode, response.Header.Get("Content-Type"), body)
+}
+
+// Guards against a change of the names and forms that operators' scripts read,
+// and against errors without a remedy.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name, method, path, host string
+		source                   source
+	}{
+		{name: "status", path: "/v1/status", source: source{ready: kernel.Serving}},
+		{name: "status_refused", path: "/v1/status", source: source{fault: refusal.New(refusal.Leaving, refusal.NotRun)}},
+		{name: "status_broken", path: "/v1/status", source: source{fault: errors.New("control goroutine has ended")}},
+		{name: "status_late", path: "/v1/status", source: source{block: make(chan struct{})}},
+		{name: "view", path: "/v1/view"},
+		{name: "view_unknown", path: "/v1/view?host=nobody"},
+		{name: "view_too_long", path: "/v1/view?host=" + strings.Repeat("x", 300)},
+		{name: "view_none", path: "/v1/view", source: source{fault: refusal.New(refusal.NoConfiguration, refusal.NotRun)}},
+		{name: "drain", method: http.MethodPost, path: "/v1/drain"},
+		{name: "drain_by_get", path: "/v1/drain"},
+		{name: "drain_rebound", method: http.MethodPost, path: "/v1/drain", host: "page.example"},
+		{name: "trace", path: "/v1/trace", source: source{trace: "{\"at\":1}\n{\"at\":2}\n"}},
+		{name: "trace_too_long", path: "/v1/trace", source: source{trace: strings.Repeat("x", 17<<20)}},
+		{name: "health", path: "/v1/health", source: source{ready: kernel.Serving}},
+		{name: "health_resyncing", path: "/v1/health", source: source{ready: kernel.Resyncing}},
+		{name: "no_path", path: "/v2/status"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got := ask(t, c.method, serve(t, &c.source)+c.path, c.host)
+			is.Equal(c.source.drained, c.name == "drain") // drained by this request only
+			golden(t, c.name, got)
+		})
+	}
+}
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *rewrite {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s:\ngot  %s\nwant %s", path, got, want)
+	}
+}
+
+// Guards against status requests that together flood the fleet with census
+// messages.
+func TestStatusRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	from := &source{block: make(chan struct{})}
+	url := serve(t, from) + "/v1/status"
+	answers := make(chan string, 5)
+	for range cap(answers) {
+		go func() { answers <- ask(t, http.MethodGet, url, "") }()
+	}
+	is.True(strings.HasPrefix(<-answers, "503")) // the fifth does not wait
+	close(from.block)
+	for range 4 {
+		is.True(strings.HasPrefix(<-answers, "200"))
+	}
+}
+
+// Guards against an operators' listener that anybody on the network can use.
+func TestNewRefusesExposedListener(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "0.0.0.0:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	_, err = operator.New(listener, operator.Options{Source: &source{}})
+	is.True(err != nil) // plain HTTP on all addresses
+	server := httptest.NewUnstartedServer(nil)
+	server.StartTLS()
+	defer server.Close()
+	_, err = operator.New(listener, operator.Options{Source: &source{}, TLS: server.TLS})
+	is.True(err != nil) // TLS without client certificates
+}
