--- /dev/null
+++ b/standin/platform/counters.go
@@ -0,0 +1,96 @@
+package platform
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// historySeconds bounds the per-second history to one day.
+const historySeconds = 86_400
+
+// The kinds of calls that Counters reports.
+const (
+	KindRead  = "read"
+	KindWatch = "watch"
+	KindWrite = "write"
+	KindOther = "other"
+)
+
+// Second is the number of calls that arrived within one second.
+type Second struct {
+	UnixS   int64 `json:"unix_s"`
+	Calls   int   `json:"calls"`
+	Refused int   `json:"refused"`
+}
+
+// Counters is the answer of GET /counters.
+type Counters struct {
+	TotalCalls     int            `json:"total_calls"`
+	CallsPerSMax   int            `json:"calls_per_s_max"`
+	WaitingWatches int            `json:"waiting_watches"`
+	CallsByKind    map[string]int `json:"calls_by_kind"`
+	Refused        int            `json:"refused"`
+	Failed         int            `json:"failed"`
+	History        []Second       `json:"history"`
+}
+
+// counting counts calls by wall-clock second.
+type counting struct {
+	mu       sync.Mutex
+	counters Counters
+}
+
+func newCounting() *counting {
+	return &counting{counters: Counters{CallsByKind: map[string]int{}}}
+}
+
+// call counts one call and reports whether it is within the limit per second.
+func (c *counting) call(kind string, at time.Time, limit int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	second := c.second(at.Unix())
+	second.Calls++
+	c.counters.TotalCalls++
+	c.counters.CallsByKind[kind]++
+	c.counters.CallsPerSMax = max(c.counters.CallsPerSMax, second.Calls)
+	if second.Calls <= limit {
+		return true
+	}
+	second.Refused++
+	c.counters.Refused++
+	return false
+}
+
+func (c *counting) second(unix int64) *Second {
+	history := c.counters.History
+	if len(history) == 0 || history[len(history)-1].UnixS < unix {
+		history = append(history, Second{UnixS: unix})
+	}
+	if len(history) > historySeconds {
+		history = history[1:]
+	}
+	c.counters.History = history
+	return &history[len(history)-1]
+}
+
+func (c *counting) failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counters.Failed++
+}
+
+func (c *counting) waiting(change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counters.WaitingWatches += change
+}
+
+func (c *counting) snapshot() Counters {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	copied := c.counters
+	copied.CallsByKind = maps.Clone(copied.CallsByKind)
+	copied.History = append([]Second{}, copied.History...)
+	return copied
+}
--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	keyPath = "/v1/kv/"
+	// indexHeader carries the index that the next blocking query passes on.
+	indexHeader = "X-Consul-Index"
+	// defaultWait and maxWait are Consul's bounds of a blocking query.
+	defaultWait = 5 * time.Minute
+	maxWait     = 10 * time.Minute
+)
+
+// Handler returns the KV interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+keyPath+"{key...}", s.read)
+	mux.HandleFunc("PUT "+keyPath+"{key...}", s.write)
+	return s.admit(mux)
+}
+
+// ControlHandler returns the interface for faults and counters.
+func (s *Server) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", s.postFaults)
+	mux.HandleFunc("GET /faults", s.getFaults)
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) })
+	return mux
+}
+
+// admit counts the call and applies the limit, the outage and the latency.
+func (s *Server) admit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		within := s.counting.call(kindOf(r), time.Now(), s.callsPerS)
+		faults, _ := s.currentFaults()
+		if !within || faults.OverLimit {
+			http.Error(w, "rate limit exceeded; call less often", http.StatusTooManyRequests)
+			return
+		}
+		if !s.pause(r, time.Duration(faults.LatencyMs)*time.Millisecond) {
+			return
+		}
+		if faults.Outage != "" {
+			s.counting.failed()
+			http.Error(w, "platform outage", http.StatusInternalServerError)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// pause waits for the given time and reports whether the call is still open.
+func (s *Server) pause(r *http.Request, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-r.Context().Done():
+	case <-s.closed:
+	}
+	return false
+}
+
+func kindOf(r *http.Request) string {
+	switch {
+	case r.Method == http.MethodPut:
+		return KindWrite
+	case r.Method == http.MethodGet && r.URL.Query().Has("index"):
+		return KindWatch
+	case r.Method == http.MethodGet:
+		return KindRead
+	default:
+		return KindOther
+	}
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		http.Error(w, "value exceeds 1 MiB; split it", http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		http.Error(w, "read body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	query := r.URL.Query()
+	want, err := number(query.Get("cas"))
+	if err != nil {
+		http.Error(w, "cas must be a modify index", http.StatusBadRequest)
+		return
+	}
+	flags, err := number(query.Get("flags"))
+	if err != nil {
+		http.Error(w, "flags must be a number", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, s.store.put(r.PathValue("key"), value, flags, query.Has("cas"), want))
+}
+
+// number parses an unsigned number; the empty text is 0.
+func number(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	faults, err := decodeFaults(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := s.SetFaults(faults); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	s.getFaults(w, r)
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	faults, _ := s.currentFaults()
+	writeJSON(w, faults)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the client has gone; there is no one to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,186 @@
+// Package platform is a stand-in of the platform that holds the configuration:
+// the subset of Consul's KV HTTP interface that a reader and an operator use.
+//
+// # Usage
+//
+//	server, err := platform.Start(platform.Options{})
+//	defer server.Close()
+//	http.Get("http://" + server.Address() + "/v1/kv/marjoramsaddle/manifest?index=7&wait=30s")
+//
+// A second listener takes faults (POST /faults) and reports calls
+// (GET /counters). Each call is counted when it arrives; a waiting watch is one
+// call. Calls over the limit per wall-clock second get a 429.
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// DefaultCallsPerS is the platform's limit over all readers.
+	DefaultCallsPerS = 2_000
+	// MaxValueBytes is the largest value that a key holds.
+	MaxValueBytes = 1 << 20
+	// anyPort lets the system choose a port, as tests do.
+	anyPort           = "127.0.0.1:0"
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Options are the settings of a Server. The zero value is usable.
+type Options struct {
+	Address        string        // of the KV interface; empty for any port
+	ControlAddress string        // of faults and counters; empty for any port
+	CallsPerS      int           // 0 for DefaultCallsPerS
+	HostLag        time.Duration // delay before a host list's change is visible
+}
+
+// Server is a running stand-in of the platform.
+type Server struct {
+	store     *store
+	counting  *counting
+	callsPerS int
+	address   string
+	control   *http.Server
+	controlAt string
+	closed    chan struct{}
+	closeOnce sync.Once
+
+	mu           sync.Mutex
+	faults       Faults
+	faultsChange chan struct{}
+	public       *http.Server // nil while connections are refused
+}
+
+// Start listens on both addresses and serves until Close.
+func Start(options Options) (*Server, error) {
+	s := &Server{
+		store:        newStore(options.HostLag),
+		counting:     newCounting(),
+		callsPerS:    options.CallsPerS,
+		closed:       make(chan struct{}),
+		faultsChange: make(chan struct{}),
+	}
+	if s.callsPerS == 0 {
+		s.callsPerS = DefaultCallsPerS
+	}
+	if err := s.listen(options.Address); err != nil {
+		return nil, err
+	}
+	if err := s.listenControl(options.ControlAddress); err != nil {
+		return nil, errors.Join(err, s.public.Close())
+	}
+	return s, nil
+}
+
+func (s *Server) listen(address string) error {
+	listener, err := listen(address)
+	if err != nil {
+		return err
+	}
+	s.address = listener.Addr().String()
+	s.public = serve(listener, s.Handler())
+	return nil
+}
+
+func (s *Server) listenControl(address string) error {
+	listener, err := listen(address)
+	if err != nil {
+		return err
+	}
+	s.controlAt = listener.Addr().String()
+	s.control = serve(listener, s.ControlHandler())
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	if address == "" {
+		address = anyPort
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s; choose a free address: %w", address, err)
+	}
+	return listener, nil
+}
+
+// serve runs a server on the listener until the server is closed.
+func serve(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
+// Address returns the address of the KV interface.
+func (s *Server) Address() string { return s.address }
+
+// ControlAddress returns the address of faults and counters.
+func (s *Server) ControlAddress() string { return s.controlAt }
+
+// Counters returns the calls counted so far.
+func (s *Server) Counters() Counters { return s.counting.snapshot() }
+
+// Put stores a value as an operator would, without counting a call.
+func (s *Server) Put(key string, value []byte) uint64 {
+	s.store.put(key, value, 0, false, 0)
+	entry, _, _ := s.store.get(key, time.Now().Add(s.store.lag()))
+	return entry.ModifyIndex
+}
+
+// SetFaults replaces all faults.
+func (s *Server) SetFaults(faults Faults) error {
+	if err := faults.check(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	faults.since = time.Now()
+	if faults.HostLagMs != nil {
+		s.store.setHostLag(time.Duration(*faults.HostLagMs) * time.Millisecond)
+	}
+	s.faults = faults
+	close(s.faultsChange)
+	s.faultsChange = make(chan struct{})
+	return s.applyOutage()
+}
+
+// applyOutage opens or closes the KV listener as the faults ask. The caller
+// holds the lock.
+func (s *Server) applyOutage() error {
+	refuse := s.faults.Outage == OutageRefuse
+	if refuse && s.public != nil {
+		err := s.public.Close()
+		s.public = nil
+		return err
+	}
+	if !refuse && s.public == nil {
+		return s.listen(s.address)
+	}
+	return nil
+}
+
+// currentFaults returns the faults and a channel that is closed when they change.
+func (s *Server) currentFaults() (Faults, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults, s.faultsChange
+}
+
+// Close ends waiting watches and closes both listeners.
+func (s *Server) Close() error {
+	var err error
+	s.closeOnce.Do(func() {
+		close(s.closed)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		err = s.control.Close()
+		if s.public != nil {
+			err = errors.Join(err, s.public.Close())
+		}
+	})
+	return err
+}
