--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -177,7 +177,11 @@
 	return drainAt != 0 && at.UnixNano() >= drainAt
 }
 
-func (s *Server) cold(at time.Time) bool { return at.Before(s.started.Add(s.options.ColdStart)) }
+// cold reports whether the cold start lasts at a time. The time may lie before
+// the start, as /healthz lags.
+func (s *Server) cold(at time.Time) bool {
+	return s.options.ColdStart > 0 && at.Before(s.started.Add(s.options.ColdStart))
+}
 
 // Stop drains, waits until no work is in progress or the context ends, and
 // closes both listeners. The journal stays readable until then.
