Assemble the daemon and the path of calls

Cause: the decision packages need sockets around them. Ruled out: a proxy of the standard library, which hides whether a byte reached the backend server. Before: no process serves a call.

--- /dev/null
+++ b/daemon/traffic.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/balance"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/retry"
+	"marjoramsaddle/io/backend"
+	"marjoramsaddle/io/caller"
+	"marjoramsaddle/io/hop"
+)
+
+// The sizes of the gate until a configuration names those of the service.
+const (
+	initialSlots       = 1
+	initialConnections = 1
+	// maxConnections bounds the connections to the backend server; the gate
+	// holds the configured number.
+	maxConnections = 130
+)
+
+func (d *Daemon) buildTraffic() {
+	s := d.settings
+	d.gate = admission.NewGate(initialSlots, initialConnections)
+	d.chooser = balance.NewChooser(s.Host, s.FailureDomain, uint64(time.Now().UnixNano()))
+	d.backend = backend.New(backend.Options{
+		Address:     s.BackendAddress,
+		Service:     s.Service,
+		Gate:        d.gate,
+		Connections: maxConnections,
+		OnDraining:  d.onDraining,
+		Now:         now,
+	})
+	d.hop = hop.NewClient(d.keys, d.lookup, s.HopTransport)
+	d.budgets.unbounded = s.Experiment.NoRetryBudget
+}
+
+// chooser turns refusals into results for the choice of backend servers.
+type chooser struct{ *balance.Chooser }
+
+// Finished reports the end of an attempt.
+func (c chooser) Finished(host id.Host, at id.Instant, latency time.Duration, refused *refusal.Error) {
+	c.Chooser.Finished(host, at, latency, balance.ResultOf(refused))
+}
+
+// sender hands attempts to the own backend server directly and to others over
+// the network.
+type sender struct{ daemon *Daemon }
+
+// Do sends one attempt.
+func (s sender) Do(host id.Host, request *http.Request, call hop.Call) (*http.Response, *refusal.Error) {
+	if host == s.daemon.settings.Host {
+		return s.daemon.backend.Do(request.Context(), request, call)
+	}
+	return s.daemon.hop.Do(host, request, call)
+}
+
+// budgets holds the retry budget of each service.
+type budgets struct {
+	unbounded bool
+	mu        sync.Mutex
+	services  map[id.Service]*serviceBudget
+}
+
+type serviceBudget struct {
+	percent   int
+	unbounded bool
+	*retry.Budget
+}
+
+// Allow takes one repeat out of the budget.
+func (b *serviceBudget) Allow(at id.Instant) bool { return b.unbounded || b.Budget.Allow(at) }
+
+func (b *budgets) get(service id.Service, percent int) caller.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.services == nil {
+		b.services = map[id.Service]*serviceBudget{}
+	}
+	budget := b.services[service]
+	if budget == nil || budget.percent != percent {
+		budget = &serviceBudget{percent: percent, unbounded: b.unbounded, Budget: retry.NewBudget(percent)}
+		b.services[service] = budget
+	}
+	return budget
+}
+
+// limits holds the rate limit of each service.
+type limits struct {
+	mu       sync.Mutex
+	services map[id.Service]*rate.Limiter
+}
+
+func (l *limits) allow(service id.Service, perSecond int, at id.Instant) bool {
+	if perSecond == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.services == nil {
+		l.services = map[id.Service]*rate.Limiter{}
+	}
+	limiter := l.services[service]
+	if limiter == nil || limiter.Burst() != perSecond {
+		limiter = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+		l.services[service] = limiter
+	}
+	return limiter.AllowN(at.Time(), 1)
+}
--- a/io/certificate/certificate.go
+++ b/io/certificate/certificate.go
@@ -123,6 +123,23 @@
 	}
 }
 
+// Operators returns a configuration for the operators' listener. Any
+// certificate of the authority is accepted.
+func (k *Keys) Operators() *tls.Config {
+	base := &tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		ClientAuth:     tls.RequireAndVerifyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return k.material().certificate, nil },
+	}
+	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		current := base.Clone()
+		current.GetConfigForClient = nil
+		current.ClientCAs = k.material().authority
+		return current, nil
+	}
+	return base
+}
+
 // Client returns a configuration that accepts only the given host, or any
 // host of the authority when it is empty. Peers are dialled by IP number, so
 // the check uses the URI name in place of a DNS name.
--- /dev/null
+++ b/io/hop/call.go
@@ -0,0 +1,151 @@
+// Package hop carries calls between daemons. A call is an HTTP request over
+// HTTP/2 or HTTP/3 with mutual TLS; headers carry its deadline, id, depth and
+// retry marker. A refusal travels back as a status with two headers.
+//
+// Usage:
+//
+//	client := hop.NewClient(keys, lookup, settings.HTTP2)
+//	response, refused := client.Do(endpoint.Host, request, call)
+package hop
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+)
+
+// The headers of a call.
+const (
+	HeaderDeadline = "Marjoramsaddle-Deadline" // Unix microseconds
+	HeaderCallID   = "Marjoramsaddle-Call-Id"
+	HeaderDepth    = "Marjoramsaddle-Depth"
+	HeaderRetry    = "Marjoramsaddle-Retry" // 1 on a repeated attempt
+	HeaderService  = "Marjoramsaddle-Service"
+	HeaderClass    = "Marjoramsaddle-Class"
+	HeaderQueueMS  = "Marjoramsaddle-Queue-Ms"
+	HeaderSafe     = "Marjoramsaddle-Idempotent" // 1 when a repeat does no harm
+	HeaderOutcome  = "Marjoramsaddle-Outcome"
+	HeaderReason   = "Marjoramsaddle-Reason"
+	HeaderDraining = "Marjoramsaddle-Draining"
+	HeaderKey      = "Idempotency-Key"
+)
+
+// MaxDepth is the greatest number of calls that one caller's request may
+// cause in a chain.
+const MaxDepth = 29
+
+// MaxHeaderBytes bounds the header of a request on every listener.
+const MaxHeaderBytes = 64 << 10
+
+// Call is what daemons tell each other about a request.
+type Call struct {
+	ID       string
+	Service  id.Service
+	Class    document.Class
+	Deadline id.Instant
+	QueueMS  int
+	Depth    int
+	// Retry marks a repeated attempt. Daemons further down the chain do not
+	// repeat it again.
+	Retry bool
+	// Idempotent is true when the route allows repeats.
+	Idempotent bool
+	// Key is the caller's idempotency key, or empty.
+	Key string
+}
+
+// Write puts the call into the headers of a request.
+func (c Call) Write(header http.Header) {
+	header.Set(HeaderCallID, c.ID)
+	header.Set(HeaderService, string(c.Service))
+	header.Set(HeaderClass, string(c.Class))
+	header.Set(HeaderDeadline, FormatDeadline(c.Deadline))
+	header.Set(HeaderQueueMS, strconv.Itoa(c.QueueMS))
+	header.Set(HeaderDepth, strconv.Itoa(c.Depth))
+	setFlag(header, HeaderRetry, c.Retry)
+	setFlag(header, HeaderSafe, c.Idempotent)
+	if c.Key != "" {
+		header.Set(HeaderKey, c.Key)
+	}
+}
+
+func setFlag(header http.Header, name string, on bool) {
+	if on {
+		header.Set(name, "1")
+		return
+	}
+	header.Del(name)
+}
+
+// ReadCall reads a call from the headers that Write has set.
+func ReadCall(header http.Header) (Call, error) {
+	deadline, err := ParseDeadline(header.Get(HeaderDeadline))
+	if err != nil {
+		return Call{}, err
+	}
+	depth, err := strconv.Atoi(header.Get(HeaderDepth))
+	if err != nil || depth < 0 {
+		return Call{}, fmt.Errorf("header %s: not a count", HeaderDepth)
+	}
+	queue, err := strconv.Atoi(header.Get(HeaderQueueMS))
+	if err != nil || queue < 0 {
+		return Call{}, fmt.Errorf("header %s: not a number of milliseconds", HeaderQueueMS)
+	}
+	return Call{
+		ID:         header.Get(HeaderCallID),
+		Service:    id.Service(header.Get(HeaderService)),
+		Class:      document.Class(header.Get(HeaderClass)),
+		Deadline:   deadline,
+		QueueMS:    queue,
+		Depth:      depth,
+		Retry:      header.Get(HeaderRetry) == "1",
+		Idempotent: header.Get(HeaderSafe) == "1",
+		Key:        header.Get(HeaderKey),
+	}, nil
+}
+
+// FormatDeadline writes a deadline in Unix microseconds.
+func FormatDeadline(deadline id.Instant) string {
+	return strconv.FormatInt(int64(deadline)/1000, 10)
+}
+
+// ParseDeadline reads a deadline in Unix microseconds.
+func ParseDeadline(text string) (id.Instant, error) {
+	micros, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || micros <= 0 {
+		return 0, fmt.Errorf("header %s: %q is not a time in Unix microseconds", HeaderDeadline, text)
+	}
+	return id.Instant(micros * 1000), nil
+}
+
+// Refuse answers a request with a refusal.
+func Refuse(w http.ResponseWriter, refused *refusal.Error) {
+	header := w.Header()
+	header.Set(HeaderOutcome, refused.Outcome.String())
+	header.Set(HeaderReason, refused.Reason.String())
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if refused.Status() == http.StatusServiceUnavailable {
+		header.Set("Retry-After", "1")
+	}
+	w.WriteHeader(refused.Status())
+	_, _ = fmt.Fprintln(w, refused.Error())
+}
+
+// RefusalOf returns the refusal that another daemon has answered with, or nil
+// when the answer is that of a backend server.
+func RefusalOf(response *http.Response) *refusal.Error {
+	switch response.Header.Get(HeaderOutcome) {
+	case refusal.Ran.String():
+		return nil
+	case refusal.NotRun.String():
+		return refusal.New(refusal.Parse(response.Header.Get(HeaderReason)), refusal.NotRun)
+	case refusal.Unknown.String():
+		return refusal.New(refusal.Parse(response.Header.Get(HeaderReason)), refusal.Unknown)
+	default:
+		return refusal.Wrap(refusal.HopBroken, refusal.Unknown, fmt.Errorf("status %d without %s", response.StatusCode, HeaderOutcome))
+	}
+}
--- /dev/null
+++ b/io/hop/server.go
@@ -0,0 +1,84 @@
+package hop
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"marjoramsaddle/io/certificate"
+	"marjoramsaddle/io/settings"
+)
+
+// headerTimeout bounds the time in which a request's header must arrive.
+const headerTimeout = 5 * time.Second
+
+// Server accepts calls from other daemons on TCP, and on UDP for HTTP/3.
+type Server struct {
+	tcp   *http.Server
+	udp   *http3.Server
+	ended chan struct{}
+}
+
+// Serve listens on the address and hands calls to the handler. Both transports
+// are always accepted, so that hosts with different settings can talk.
+func Serve(address string, keys *certificate.Keys, handler http.Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("hop: %w: free hop_address or choose another", err)
+	}
+	s := &Server{
+		tcp: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			MaxHeaderBytes:    MaxHeaderBytes,
+			IdleTimeout:       2 * idleTimeout,
+			ErrorLog:          discardLog,
+		},
+		udp: &http3.Server{
+			Handler:        handler,
+			MaxHeaderBytes: MaxHeaderBytes,
+			TLSConfig:      http3.ConfigureTLSConfig(keys.Server("h3")),
+			QUICConfig: &quic.Config{
+				MaxIdleTimeout:             2 * idleTimeout,
+				MaxStreamReceiveWindow:     maxReceiveWindow,
+				MaxConnectionReceiveWindow: 2 * maxReceiveWindow,
+			},
+		},
+		ended: make(chan struct{}),
+	}
+	socket, err := net.ListenPacket("udp", listener.Addr().String())
+	if err != nil {
+		_ = listener.Close()
+		return nil, fmt.Errorf("hop: %w: free hop_address or choose another", err)
+	}
+	go s.run(tls.NewListener(listener, keys.Server("h2")), socket)
+	return s, nil
+}
+
+func (s *Server) run(listener net.Listener, socket net.PacketConn) {
+	defer close(s.ended)
+	go func() {
+		_ = s.udp.Serve(socket)
+		_ = socket.Close()
+	}()
+	_ = s.tcp.Serve(listener)
+}
+
+// Shutdown waits for calls in progress and stops. The context bounds the wait.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := errors.Join(s.tcp.Shutdown(ctx), s.udp.Shutdown(ctx))
+	_ = s.tcp.Close()
+	_ = s.udp.Close()
+	<-s.ended
+	return err
+}
+
+// Protocols returns the names of the transports that a daemon can use.
+func Protocols() []string { return []string{settings.HTTP2, settings.HTTP3} }
