--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,90 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against repeats that run a request twice, outlive its deadline or
+// multiply along a chain, and against wrong reasons in the counters.
+func TestDecide(t *testing.T) {
+	const second = id.Instant(time.Second)
+	tests := []struct {
+		name   string
+		change func(*Attempt)
+		want   refusal.Reason
+	}{
+		{"not run", func(*Attempt) {}, refusal.None},
+		{"idempotent", func(a *Attempt) { a.Idempotent, a.Refused = true, refusal.New(refusal.HopBroken, refusal.Unknown) }, refusal.None},
+		{"unknown outcome", func(a *Attempt) { a.Refused = refusal.New(refusal.HopBroken, refusal.Unknown) }, refusal.HopBroken},
+		{"ran", func(a *Attempt) { a.Refused = refusal.New(refusal.BackendBroken, refusal.Ran) }, refusal.BackendBroken},
+		{"marked", func(a *Attempt) { a.Marked = true }, refusal.Leaving},
+		{"attempts used", func(a *Attempt) { a.Number = 3 }, refusal.Leaving},
+		{"not transient", func(a *Attempt) { a.Refused = refusal.New(refusal.RecordUnavailable, refusal.NotRun) }, refusal.RecordUnavailable},
+		{"deadline", func(a *Attempt) { a.Deadline = a.Now }, refusal.DeadlinePassed},
+		{"wait passes the deadline", func(a *Attempt) { a.Deadline, a.Random = a.Now+1, 1<<63 }, refusal.DeadlinePassed},
+		{"depth", func(a *Attempt) { a.Depth = MaxDepth + 1 }, refusal.DepthExceeded},
+		{"deepest", func(a *Attempt) { a.Depth = MaxDepth }, refusal.None},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			attempt := Attempt{
+				Number: 1, Limit: 3, Depth: 1, Now: second, Deadline: 2 * second,
+				Refused: refusal.New(refusal.Leaving, refusal.NotRun),
+			}
+			test.change(&attempt)
+			decision := Decide(attempt, NewBudget(10))
+			is.Equal(decision.Reason, test.want)
+			is.Equal(decision.Repeat, test.want == refusal.None)
+			spent := NewBudget(0)
+			is.True(!Decide(attempt, spent).Repeat)
+		})
+	}
+	is.New(t).Equal(CheckDepth(MaxDepth+1).Reason, refusal.DepthExceeded)
+}
+
+// Guards against repeats above the share of first attempts, the burst and the
+// minimum, whatever the order of calls.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.IntRange(1, 20).Draw(t, "percent")
+		budget, now := NewBudget(share), id.Instant(time.Hour)
+		start := now
+		firsts, repeats := 0, 0
+		for range rapid.IntRange(1, 50).Draw(t, "rounds") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 300).Draw(t, "firsts") {
+				budget.First()
+				firsts++
+			}
+			for range rapid.IntRange(0, 100).Draw(t, "repeats") {
+				if budget.Take(now) {
+					repeats++
+				}
+			}
+			byShare := float64(firsts*share)/percent + burst
+			byMinimum := now.Sub(start).Seconds() + 1
+			// The share may lie unused only while the minimum is in debt to it.
+			if float64(repeats) > byShare+byMinimum {
+				t.Fatalf("%d repeats of %d calls in %v", repeats, firsts, now.Sub(start))
+			}
+		}
+	})
+	busy, repeats := NewBudget(10), 0
+	for call := range 100_000 {
+		busy.First()
+		if busy.Take(id.Instant(time.Hour).Add(time.Duration(call) * 10 * time.Millisecond)) {
+			repeats++
+		}
+	}
+	// 100 calls/s for 1,000 s: the minimum of 1/s must not come on top of 10%.
+	is.New(t).True(repeats <= 10_000+2*burst+1)
+	is.New(t).True(repeats >= 10_000)
+}
