--- a/core/balance/chooser_test.go
+++ b/core/balance/chooser_test.go
@@ -36,7 +36,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		policy := rapid.SampledFrom([]Policy{LeastLoaded, RoundRobin, Random}).Draw(t, "policy")
 		chooser := NewChooser("host-0-0", "domain-0", rapid.Uint64().Draw(t, "seed"), WithPolicy(policy), WithSubset(2))
-		entries, now := fleet(2, 3), epoch
+		entries, now := fleet(2, 2), epoch
 		chooser.SetEndpoints(entries)
 		t.Repeat(map[string]func(*rapid.T){
 			"change": func(t *rapid.T) {
@@ -67,8 +67,11 @@
 				case chosen.State == endpoint.Suspect && usable[endpoint.Alive] > 0:
 					t.Fatal("chose a suspect host while others are alive")
 				}
-				chooser.Started(chosen.Host)
-				chooser.Finished(chosen.Host, now, time.Millisecond, Result(rapid.IntRange(0, 3).Draw(t, "result")))
+				result := Result(rapid.IntRange(0, 3).Draw(t, "result"))
+				for range failuresToEject {
+					chooser.Started(chosen.Host)
+					chooser.Finished(chosen.Host, now, 0, result)
+				}
 			},
 		})
 	})
