Add the idempotency records

Cause: keyed non-idempotent requests need records at two hosts so that none runs twice. Ruled out: a fixed owner and partner taken from the live hosts, because two views of the live hosts can name two pairs without a host in common; leaving young hosts out of the ranking, because a restart would then change the pairs. Before: no package.

--- /dev/null
+++ b/core/idempotency/doc.go
@@ -0,0 +1,71 @@
+// Package idempotency keeps the records that let a keyed non-idempotent
+// request run at most once. It decides; asking other hosts is the caller's
+// work.
+//
+// The three hosts with the highest rendezvous hash of a key, among all known
+// hosts of the service whether live or not, are the replicas of the key. The
+// daemon that handles a request, normally the first live replica, is its owner.
+// A request runs only when a majority of the replicas has recorded the key for
+// this owner: as a rule the owner itself and one partner. A host records a key
+// for one owner only, so no two owners can get a majority.
+//
+// A host that started recently cannot vouch that it has never seen a key, and
+// its record does not count. It vouches for a key when it has run for the
+// retention, or when the key is younger than its process. Keys tell their age
+// when they are UUIDs of version 7; WithOrigin gives a bound for other keys.
+//
+// Hosts may know different sets of hosts for a while. An owner therefore needs
+// a majority of the replicas for each set of hosts that was valid, from its
+// point of view, while the key could have run: with and without each host that
+// it has come to know or has forgotten since. An owner that has not known the
+// hosts for that long refuses. The rule holds while a new or removed host name
+// becomes known everywhere within the view lag and stays for at least as long.
+// Liveness plays no part in the choice of replicas, so views of it may differ
+// without limit.
+//
+// What happens to a repeated request, with A, B and C as replicas, A the first
+// owner and B its partner:
+//
+//	case                                     decision
+//	repeat at A while the request runs       in_progress
+//	repeat at A after a small answer         recorded answer
+//	repeat at A after a large answer         ran, without the answer
+//	repeat at A after an unknown outcome     unknown
+//	repeat at A after it did not run         runs, when a partner records it
+//	through another daemon, owner is A       as at A
+//	another daemon takes B for the owner     unknown; B names A, which can be asked
+//	another daemon takes C for the owner     as A or B tells C; never runs
+//	A died                                   B: unknown; C: unknown from B
+//	A died and came back                     A: record_unavailable; B: unknown
+//	A and B died                             C: record_unavailable
+//	A and B died and came back               record_unavailable for keys older
+//	                                         than both processes
+//	B unreachable at the first request       C becomes the partner
+//	B and C unreachable                      record_unavailable, not run by A
+//	two daemons know different host names    runs only with a majority for both
+//	                                         sets, otherwise record_unavailable
+//	two owners at the same time              at most one runs, the other gets
+//	                                         in_progress or unknown
+//	key older than the retention             record_unavailable
+//	records full                             record_unavailable
+//
+// A refusal with record_unavailable has the outcome unknown, because an earlier
+// request with the key may have run. With a service of two hosts both have to
+// record a key; with one host there is no partner.
+//
+// Usage:
+//
+//	claim, answer := records.Begin(key, now, deadline)
+//	if claim == nil {
+//		return answer
+//	}
+//	for _, partner := range claim.Partners {
+//		// Send claim.Request to the partner, which calls PartnerRecord.
+//		if answer.State == idempotency.Granted && records.Granted(claim, partner, now) {
+//			run = true
+//			break
+//		}
+//	}
+//	// When run is set, send the request. In any case:
+//	records.Finish(claim, now, outcome, result)
+package idempotency
