Add the operators' client, the schema and the examples

Cause: operators need to check, build and watch versions from a shell. Before: no client; no schema; no examples.

--- /dev/null
+++ b/client/build.go
@@ -0,0 +1,149 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/manifest"
+)
+
+type buildFlags struct{ out, author, comment string }
+
+func newBuild() *cobra.Command {
+	var flags buildFlags
+	cmd := &cobra.Command{
+		Use:   "build --out DIR FILE...",
+		Short: "Write the parts and the manifest for the platform",
+		Long: `Write the parts and the manifest for the platform. The path of each file below
+DIR is its key on the platform. Publish the parts first and the manifest last,
+with compare-and-set.
+
+` + exitCodes,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return runBuild(cmd, flags, args) },
+	}
+	cmd.Flags().StringVar(&flags.out, "out", "", "folder to write to")
+	cmd.Flags().StringVar(&flags.author, "author", "", "author to record in the manifest")
+	cmd.Flags().StringVar(&flags.comment, "comment", "", "comment to record in the manifest")
+	if err := cmd.MarkFlagRequired("out"); err != nil {
+		panic(err)
+	}
+	return cmd
+}
+
+func runBuild(cmd *cobra.Command, flags buildFlags, args []string) error {
+	set, err := loadValid(args)
+	if err != nil {
+		return err
+	}
+	parts, err := split(set)
+	if err != nil {
+		return &Error{Code: Faulty, Problem: "documents do not fit the platform", Remedy: err.Error()}
+	}
+	for _, data := range parts {
+		if err := writeKey(flags.out, partOf(data).Key(), data); err != nil {
+			return err
+		}
+	}
+	data, err := encodeManifest(parts, flags)
+	if err != nil {
+		return &Error{Code: Faulty, Problem: "documents do not fit the platform", Remedy: err.Error()}
+	}
+	// The manifest comes last, so that a build that stops early leaves none
+	// that names missing parts.
+	if err := writeKey(flags.out, manifest.Key, data); err != nil {
+		return err
+	}
+	return printLine(cmd, fmt.Sprintf("built: %d documents in %d parts below %s", len(set.Canonical), len(parts), flags.out))
+}
+
+// split writes the documents in key order into as few JSON arrays as the
+// platform's limit for one value allows. Equal documents give equal parts.
+func split(set *document.Set) ([][]byte, error) {
+	var parts [][]byte
+	var part []byte
+	for _, key := range set.Keys() {
+		raw := set.Canonical[key]
+		if len(raw)+len("[]") > manifest.MaxPartBytes {
+			return nil, fmt.Errorf("%s has %d bytes, the platform holds %d in one value: split the document",
+				key, len(raw), manifest.MaxPartBytes)
+		}
+		if len(part)+len(raw)+len(",]") > manifest.MaxPartBytes {
+			parts = append(parts, append(part, ']'))
+			part = nil
+		}
+		part = appendDocument(part, raw)
+	}
+	if part != nil {
+		parts = append(parts, append(part, ']'))
+	}
+	if len(parts) == 0 {
+		return nil, fmt.Errorf("no documents: write at least one")
+	}
+	if _, err := encodeManifest(parts, buildFlags{}); err != nil {
+		return nil, err
+	}
+	return parts, nil
+}
+
+func partOf(data []byte) manifest.Part {
+	return manifest.Part{SHA256: id.DigestOf(data), Bytes: len(data)}
+}
+
+// encodeManifest returns the manifest of the parts after the check that the
+// daemons make on it.
+func encodeManifest(parts [][]byte, flags buildFlags) ([]byte, error) {
+	m := &manifest.Manifest{Format: manifest.Format, Author: flags.author, Comment: flags.comment}
+	for _, data := range parts {
+		m.Parts = append(m.Parts, partOf(data))
+	}
+	data, err := json.MarshalIndent(m, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	if _, err := manifest.Decode(data); err != nil {
+		return nil, err
+	}
+	return append(data, '\n'), nil
+}
+
+func appendDocument(part, raw []byte) []byte {
+	if part == nil {
+		part = append(part, '[')
+	} else {
+		part = append(part, ',')
+	}
+	return append(part, raw...)
+}
+
+// writeKey writes the value of a platform key below folder. A file is either
+// whole or absent.
+func writeKey(folder, key string, data []byte) error {
+	path := filepath.Join(folder, filepath.FromSlash(key))
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return unwritable(err)
+	}
+	return writeWhole(path, data)
+}
+
+// writeWhole writes a file under a temporary name and renames it.
+func writeWhole(path string, data []byte) error {
+	temporary := path + ".tmp"
+	if err := os.WriteFile(temporary, data, 0o644); err != nil {
+		return unwritable(err)
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return unwritable(err)
+	}
+	return nil
+}
+
+func unwritable(err error) error {
+	return &Error{Code: Usage, Problem: err.Error(), Remedy: "check the folder and its permissions"}
+}
--- /dev/null
+++ b/client/daemon.go
@@ -0,0 +1,156 @@
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	goahttp "goa.design/goa/v3/http"
+
+	genclient "marjoramsaddle/gen/http/operator/client"
+	gen "marjoramsaddle/gen/operator"
+)
+
+const (
+	// defaultAddress is the loopback address of the operators' listener in the
+	// examples of the settings.
+	defaultAddress = "127.0.0.1:7070"
+	dialDeadline   = 2 * time.Second
+	// answerDeadline bounds a whole answer, the longest of which is a trace.
+	answerDeadline = 30 * time.Second
+	// maxAnswerBytes bounds an answer; the status of 5,400 hosts that are all
+	// behind is under 1 MiB.
+	maxAnswerBytes = 64 << 20
+)
+
+// daemonFlags say how to reach a daemon.
+type daemonFlags struct{ address, certificate, key, authority string }
+
+func (f *daemonFlags) register(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.address, "address", defaultAddress, "address of a daemon's operators' listener")
+	cmd.Flags().StringVar(&f.certificate, "certificate", "", "file with the operator's certificate, for mutual TLS")
+	cmd.Flags().StringVar(&f.key, "key", "", "file with the operator's key, for mutual TLS")
+	cmd.Flags().StringVar(&f.authority, "authority", "", "file with the certificate authority of the daemons, for mutual TLS")
+	cmd.MarkFlagsRequiredTogether("certificate", "key", "authority")
+}
+
+// connect returns a client of the daemon. It opens no connection yet.
+func (f *daemonFlags) connect() (*gen.Client, error) {
+	scheme, host := "http", strings.TrimPrefix(f.address, "http://")
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialDeadline}).DialContext, DisableKeepAlives: true}
+	if f.certificate != "" {
+		config, err := f.tlsConfig()
+		if err != nil {
+			return nil, err
+		}
+		scheme, host, transport.TLSClientConfig = "https", strings.TrimPrefix(f.address, "https://"), config
+	}
+	if _, _, err := net.SplitHostPort(host); err != nil {
+		return nil, &Error{Code: Usage, Problem: "--address: " + err.Error(), Remedy: "use IP:PORT; https needs --certificate"}
+	}
+	doer := &http.Client{Transport: transport, Timeout: answerDeadline}
+	c := genclient.NewClient(scheme, host, doer, goahttp.RequestEncoder, decodeJSON, false)
+	return gen.NewClient(c.Status(), c.View(), c.Drain(), c.Trace(), c.Health()), nil
+}
+
+func decodeJSON(response *http.Response) goahttp.Decoder {
+	return json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
+}
+
+func (f *daemonFlags) tlsConfig() (*tls.Config, error) {
+	pair, err := tls.LoadX509KeyPair(f.certificate, f.key)
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	authority, err := os.ReadFile(f.authority)
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return nil, &Error{Code: Usage, Problem: f.authority + " holds no certificate", Remedy: "name a PEM file"}
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: roots, MinVersion: tls.VersionTLS13}, nil
+}
+
+func (f *daemonFlags) status(ctx context.Context) (*gen.FleetStatus, error) {
+	client, err := f.connect()
+	if err != nil {
+		return nil, err
+	}
+	status, err := client.Status(ctx)
+	return status, f.explain(err)
+}
+
+func (f *daemonFlags) view(ctx context.Context, host string) (*gen.ProxyView, error) {
+	client, err := f.connect()
+	if err != nil {
+		return nil, err
+	}
+	view, err := client.View(ctx, &gen.ViewPayload{Host: &host})
+	return view, f.explain(err)
+}
+
+func (f *daemonFlags) drain(ctx context.Context) (*gen.Drained, error) {
+	client, err := f.connect()
+	if err != nil {
+		return nil, err
+	}
+	drained, err := client.Drain(ctx)
+	return drained, f.explain(err)
+}
+
+// explain gives an error of a request its exit code and remedy.
+func (f *daemonFlags) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	var fault *gen.Fault
+	if !errors.As(err, &fault) {
+		return &Error{
+			Code: Unreachable, Problem: fmt.Sprintf("no answer from the daemon at %s: %v", f.address, err),
+			Remedy: "check that it runs and that --address is its operators' listener",
+		}
+	}
+	code := Unreachable
+	if fault.Name != "unavailable" {
+		code = Usage
+	}
+	return &Error{Code: code, Problem: fmt.Sprintf("the daemon at %s: %s", f.address, fault.Problem), Remedy: fault.Remedy}
+}
+
+func newDrain() *cobra.Command {
+	var flags daemonFlags
+	cmd := &cobra.Command{
+		Use:   "drain --address ADDRESS",
+		Short: "Start the graceful shutdown of one daemon",
+		Long: `Start the graceful shutdown of one daemon: it takes no new work and ends the
+work in progress.
+
+` + exitCodes,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			drained, err := flags.drain(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return printLine(cmd, "the daemon at "+flags.address+" is "+drained.Readiness)
+		},
+	}
+	flags.register(cmd)
+	// A default would drain the daemon of this host by mistake.
+	if err := cmd.MarkFlagRequired("address"); err != nil {
+		panic(err)
+	}
+	return cmd
+}
--- /dev/null
+++ b/client/ties.go
@@ -0,0 +1,169 @@
+package client
+
+import (
+	"cmp"
+	"fmt"
+	"math/big"
+	"math/bits"
+	"slices"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+)
+
+// tie is a field that two configurations of equal priority set on the same
+// proxies and services.
+type tie struct {
+	Field string
+	// Winner has the smaller name.
+	Winner, Loser string
+	Priority      int
+	// Proxies is the number of proxies with the tie, Proxy the first of them.
+	Proxies int
+	Proxy   id.Host
+	// Services and Service are the same for services; a tie of routes has none.
+	Services int
+	Service  id.Service
+}
+
+// String returns the tie with its remedy.
+func (t tie) String() string {
+	where := fmt.Sprintf("%d proxies (first %s)", t.Proxies, t.Proxy)
+	if t.Services > 0 {
+		where += fmt.Sprintf(" and %d services (first %s)", t.Services, t.Service)
+	}
+	return fmt.Sprintf("%s: configurations %s and %s both set it at priority %d on %s: %s wins; give one a higher priority",
+		t.Field, t.Winner, t.Loser, t.Priority, where, t.Winner)
+}
+
+// reach is what one configuration applies to, as bit sets over the sorted
+// proxies and services. Pairs of configurations are then compared without
+// matching selectors again.
+type reach struct {
+	name     string
+	priority int
+	proxies  *big.Int
+	services *big.Int
+}
+
+// tieFinder holds the sorted names behind the bit sets.
+type tieFinder struct {
+	set      *document.Set
+	proxies  []id.Host
+	services []id.Service
+	// fields maps a field to the configurations that set it, in name order.
+	fields map[string][]reach
+}
+
+// ties returns all ties in the order of field and names.
+func ties(set *document.Set) []tie {
+	finder := &tieFinder{
+		set:      set,
+		proxies:  sortedKeys(set.Proxies),
+		services: sortedKeys(set.Services),
+		fields:   map[string][]reach{},
+	}
+	for _, name := range sortedKeys(set.Configurations) {
+		finder.add(set.Configurations[name])
+	}
+	fields := sortedKeys(finder.fields)
+	out := make([]tie, 0, len(fields))
+	for _, field := range fields {
+		out = append(out, finder.compare(field)...)
+	}
+	return out
+}
+
+func (f *tieFinder) add(c document.Configuration) {
+	entry := reach{name: c.Name, priority: c.Priority, proxies: new(big.Int), services: new(big.Int)}
+	for index, host := range f.proxies {
+		if c.ProxySelector.Matches(f.set.Proxies[host].Labels) {
+			entry.proxies.SetBit(entry.proxies, index, 1)
+		}
+	}
+	for index, name := range f.services {
+		if c.ServiceSelector.Matches(f.set.Services[name].Labels) {
+			entry.services.SetBit(entry.services, index, 1)
+		}
+	}
+	for _, field := range policyFields(c) {
+		f.fields[field] = append(f.fields[field], entry)
+	}
+	entry.services = nil // routes do not depend on the service selector
+	for _, route := range c.Routes {
+		field := "route " + route.Name
+		f.fields[field] = append(f.fields[field], entry)
+	}
+}
+
+// policyFields returns the names of the policy fields that c sets.
+func policyFields(c document.Configuration) []string {
+	set := map[string]bool{
+		"limits.calls_per_s":     c.Limits.CallsPerSecond != nil,
+		"limits.body_bytes":      c.Limits.BodyBytes != nil,
+		"limits.queue_ms":        c.Limits.QueueMS != nil,
+		"retries.attempts":       c.Retries.Attempts != nil,
+		"retries.budget_percent": c.Retries.BudgetPercent != nil,
+	}
+	var out []string
+	for _, field := range sortedKeys(set) {
+		if set[field] {
+			out = append(out, field)
+		}
+	}
+	return out
+}
+
+func (f *tieFinder) compare(field string) []tie {
+	var out []tie
+	setters := f.fields[field]
+	for index, winner := range setters {
+		for _, loser := range setters[index+1:] {
+			if winner.priority != loser.priority {
+				continue
+			}
+			if found, ok := f.overlap(field, winner, loser); ok {
+				out = append(out, found)
+			}
+		}
+	}
+	return out
+}
+
+func (f *tieFinder) overlap(field string, winner, loser reach) (tie, bool) {
+	proxies := new(big.Int).And(winner.proxies, loser.proxies)
+	if proxies.Sign() == 0 {
+		return tie{}, false
+	}
+	out := tie{
+		Field: field, Winner: winner.name, Loser: loser.name, Priority: winner.priority,
+		Proxies: count(proxies), Proxy: f.proxies[proxies.TrailingZeroBits()],
+	}
+	if winner.services == nil {
+		return out, true
+	}
+	services := new(big.Int).And(winner.services, loser.services)
+	if services.Sign() == 0 {
+		return tie{}, false
+	}
+	out.Services = count(services)
+	out.Service = f.services[services.TrailingZeroBits()]
+	return out, true
+}
+
+func count(set *big.Int) int {
+	total := 0
+	for _, word := range set.Bits() {
+		total += bits.OnesCount(uint(word))
+	}
+	return total
+}
+
+func sortedKeys[K cmp.Ordered, V any](values map[K]V) []K {
+	keys := make([]K, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/client/trace.go
@@ -0,0 +1,72 @@
+package client
+
+import (
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+func newTrace() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "trace",
+		Short: "Record the kernel events of a daemon",
+		Args:  cobra.NoArgs,
+		RunE:  needCommand,
+	}
+	cmd.AddCommand(newTraceRecord())
+	return cmd
+}
+
+func newTraceRecord() *cobra.Command {
+	var flags daemonFlags
+	var out string
+	cmd := &cobra.Command{
+		Use:   "record --out FILE",
+		Short: "Write the recent kernel events of a daemon to a file",
+		Long:  "Write the recent kernel events of a daemon to a file, as JSON lines.\n\n" + exitCodes,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := flags.record(cmd, out); err != nil {
+				return err
+			}
+			return printLine(cmd, "recorded to "+out)
+		},
+	}
+	cmd.Flags().StringVar(&out, "out", "", "file to write")
+	flags.register(cmd)
+	if err := cmd.MarkFlagRequired("out"); err != nil {
+		panic(err)
+	}
+	return cmd
+}
+
+// record writes the trace to a file, which is either whole or absent.
+func (f *daemonFlags) record(cmd *cobra.Command, out string) error {
+	client, err := f.connect()
+	if err != nil {
+		return err
+	}
+	_, body, err := client.Trace(cmd.Context())
+	if err != nil {
+		return f.explain(err)
+	}
+	defer func() { _ = body.Close() }()
+	temporary := out + ".tmp"
+	file, err := os.Create(temporary)
+	if err != nil {
+		return unwritable(err)
+	}
+	if _, err := io.Copy(file, io.LimitReader(body, maxAnswerBytes)); err != nil {
+		_ = file.Close()
+		_ = os.Remove(temporary)
+		return f.explain(err)
+	}
+	if err := file.Close(); err != nil {
+		return unwritable(err)
+	}
+	if err := os.Rename(temporary, out); err != nil {
+		return unwritable(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/docs/schema/schema_test.go
@@ -0,0 +1,157 @@
+package schema_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/docs/schema"
+)
+
+func compile(t *testing.T) *jsonschema.Schema {
+	t.Helper()
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema.Documents))
+	if err != nil {
+		t.Fatal(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("documents.json", value); err != nil {
+		t.Fatal(err)
+	}
+	compiled, err := compiler.Compile("documents.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return compiled
+}
+
+// verdicts returns the errors of the schema and of the decoder with the rules
+// for single documents. The services that routes name are added for the
+// decoder, because the schema does not look across documents.
+func verdicts(t *testing.T, compiled *jsonschema.Schema, data []byte) (bySchema, byDecoder error) {
+	t.Helper()
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := document.NewSet()
+	if byDecoder = set.Add("test", data); byDecoder != nil {
+		return compiled.Validate(value), byDecoder
+	}
+	for _, configuration := range set.Configurations {
+		for _, route := range configuration.Routes {
+			set.Services[route.Service] = document.Service{Slots: 1, Connections: 1}
+		}
+	}
+	return compiled.Validate(value), set.Validate()
+}
+
+func examples(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob("../../examples/*/*.json")
+	if err != nil || len(files) < 6 {
+		t.Fatalf("%d example files: %v", len(files), err)
+	}
+	return files
+}
+
+// Guards against a schema or a decoder that refuses what the examples teach,
+// and against either of them passing a misspelt field at any depth.
+func TestExamplesAndUnknownFields(t *testing.T) {
+	compiled := compile(t)
+	for _, file := range examples(t) {
+		t.Run(file, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile(file)
+			is.NoErr(err)
+			bySchema, byDecoder := verdicts(t, compiled, data)
+			is.NoErr(bySchema)
+			is.NoErr(byDecoder)
+			var value any
+			is.NoErr(json.Unmarshal(data, &value))
+			eachObject(value, func(object map[string]any) {
+				object["surplus"] = true
+				defer delete(object, "surplus")
+				spoilt, err := json.Marshal(value)
+				is.NoErr(err)
+				bySchema, byDecoder := verdicts(t, compiled, spoilt)
+				is.True(bySchema != nil)  // the schema finds the unknown field
+				is.True(byDecoder != nil) // the decoder finds the unknown field
+			})
+		})
+	}
+}
+
+func eachObject(value any, visit func(object map[string]any)) {
+	switch value := value.(type) {
+	case map[string]any:
+		visit(value)
+		for _, inner := range value {
+			eachObject(inner, visit)
+		}
+	case []any:
+		for _, inner := range value {
+			eachObject(inner, visit)
+		}
+	}
+}
+
+// Guards against a schema and a decoder with different bounds: an editor would
+// then accept what the daemons refuse, or the other way round.
+func TestBoundsAgree(t *testing.T) {
+	compiled := compile(t)
+	service := func(fields string) string { return `[{"kind":"service","name":"s",` + fields + `}]` }
+	route := func(fields string) string {
+		return `[{"kind":"configuration","name":"c","routes":[{"name":"r","service":"s",` + fields + `}]}]`
+	}
+	configuration := func(fields string) string { return `[{"kind":"configuration","name":"c",` + fields + `}]` }
+	selector := func(requirement string) string {
+		return configuration(`"proxy_selector":{"match_expressions":[` + requirement + `]}`)
+	}
+	cases := []struct {
+		good bool
+		text string
+	}{
+		{true, service(`"slots":100000,"connections":1`)},
+		{false, service(`"slots":100001,"connections":1`)},
+		{false, service(`"slots":0,"connections":1`)},
+		{false, service(`"slots":1`)},
+		{false, service(`"slots":1,"connections":100001`)},
+		{false, service(`"slots":1,"connections":1,"cold_start_ms":3600001`)},
+		{false, service(`"slots":1,"connections":1,"labels":{"a b":""}`)},
+		{false, `[{"kind":"proxy"}]`},
+		{false, `[{"kind":"gateway","name":"g"}]`},
+		{true, route(`"path_prefix":"/","timeout_ms":3600000,"class":"order"`)},
+		{false, route(`"path_prefix":"/","timeout_ms":3600001,"class":"order"`)},
+		{false, route(`"path_prefix":"/","timeout_ms":0,"class":"order"`)},
+		{false, route(`"path_prefix":"x","timeout_ms":1,"class":"order"`)},
+		{false, route(`"path_prefix":"/","timeout_ms":1,"class":"bulk"`)},
+		{false, route(`"path_prefix":"/","timeout_ms":1,"class":"order","methods":["get"]`)},
+		{false, route(`"path_prefix":"/","timeout_ms":1,"class":"order","methods":[""]`)},
+		{true, configuration(`"limits":{"calls_per_s":1,"body_bytes":0,"queue_ms":0}`)},
+		{false, configuration(`"limits":{"calls_per_s":0}`)},
+		{false, configuration(`"limits":{"body_bytes":-1}`)},
+		{false, configuration(`"limits":{"queue_ms":-1}`)},
+		{true, configuration(`"retries":{"attempts":10,"budget_percent":100}`)},
+		{false, configuration(`"retries":{"attempts":11}`)},
+		{false, configuration(`"retries":{"budget_percent":101}`)},
+		{true, selector(`{"key":"a","operator":"exists"}`)},
+		{false, selector(`{"key":"a","operator":"exists","values":["b"]}`)},
+		{false, selector(`{"key":"a","operator":"in"}`)},
+		{false, selector(`{"key":"a","operator":"equals","values":["b"]}`)},
+	}
+	for _, c := range cases {
+		t.Run(c.text, func(t *testing.T) {
+			is := is.New(t)
+			bySchema, byDecoder := verdicts(t, compiled, []byte(c.text))
+			is.Equal(bySchema == nil, c.good)
+			is.Equal(byDecoder == nil, c.good)
+		})
+	}
+}
