--- /dev/null
+++ b/bench/fleet/publish.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/manifest"
+)
+
+const (
+	publishStream  = 0x70756273
+	publishTimeout = 10 * time.Second
+	hostStateLive  = "live"
+)
+
+// HostEntry is one host in the platform's list of a failure domain.
+type HostEntry struct {
+	Host  id.Host `json:"host"`
+	State string  `json:"state"`
+}
+
+// Publisher writes configurations to the platform as an operator's tool does.
+// It is not safe for concurrent use.
+type Publisher struct {
+	address   string
+	layout    *Layout
+	documents []any
+	random    *rand.Rand
+	client    *http.Client
+	index     uint64
+	written   map[id.Digest]bool
+}
+
+// NewPublisher returns a publisher whose changes depend on the seed only.
+func NewPublisher(address string, layout *Layout, seed uint64) *Publisher {
+	return &Publisher{
+		address:   address,
+		layout:    layout,
+		documents: layout.documents(),
+		random:    rand.New(rand.NewPCG(seed, publishStream)),
+		client:    &http.Client{Timeout: publishTimeout},
+		written:   map[id.Digest]bool{},
+	}
+}
+
+// Change changes one document for the next Publish.
+func (p *Publisher) Change() { p.layout.change(p.documents, p.random) }
+
+// Publish writes the parts, then the manifest with compare-and-set, and returns
+// the version that the platform gave it.
+func (p *Publisher) Publish(ctx context.Context) (id.Version, error) {
+	parts, err := split(p.documents)
+	if err != nil {
+		return 0, err
+	}
+	m := manifest.Manifest{Format: manifest.Format, Author: "marjoramsaddle-bench"}
+	for _, part := range parts {
+		m.Parts = append(m.Parts, part.Part)
+		if err := p.writePart(ctx, part); err != nil {
+			return 0, err
+		}
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return 0, fmt.Errorf("encode manifest: %w", err)
+	}
+	if err := p.put(ctx, fmt.Sprintf("%s?cas=%d", manifest.Key, p.index), data); err != nil {
+		return 0, err
+	}
+	p.index, err = p.modifyIndex(ctx, manifest.Key)
+	return id.Version(p.index), err
+}
+
+func (p *Publisher) writePart(ctx context.Context, part part) error {
+	if p.written[part.SHA256] {
+		return nil
+	}
+	if err := p.put(ctx, part.Key(), part.data); err != nil {
+		return err
+	}
+	p.written[part.SHA256] = true
+	return nil
+}
+
+// PublishHosts writes the host list of each failure domain.
+func (p *Publisher) PublishHosts(ctx context.Context) error {
+	for _, domain := range p.layout.Domains {
+		hosts := p.layout.InDomain(domain)
+		entries := make([]HostEntry, 0, len(hosts))
+		for _, host := range hosts {
+			entries = append(entries, HostEntry{Host: host.Name, State: hostStateLive})
+		}
+		data, err := json.Marshal(entries)
+		if err != nil {
+			return fmt.Errorf("encode host list: %w", err)
+		}
+		if err := p.put(ctx, manifest.HostPrefix+string(domain), data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Publisher) put(ctx context.Context, key string, data []byte) error {
+	body, _, err := p.do(ctx, http.MethodPut, key, data)
+	if err != nil {
+		return err
+	}
+	if strings.TrimSpace(string(body)) != "true" {
+		return fmt.Errorf("write %s: another operator wrote it first; read it and publish again", key)
+	}
+	return nil
+}
+
+func (p *Publisher) modifyIndex(ctx context.Context, key string) (uint64, error) {
+	_, header, err := p.do(ctx, http.MethodGet, key+"?consistent", nil)
+	if err != nil {
+		return 0, err
+	}
+	return strconv.ParseUint(header.Get("X-Consul-Index"), 10, 64)
+}
+
+func (p *Publisher) do(ctx context.Context, method, key string, data []byte) ([]byte, http.Header, error) {
+	url := "http://" + p.address + "/v1/kv/" + key
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return nil, nil, err
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s %s: %w", method, key, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s %s: %w", method, key, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, nil, fmt.Errorf("%s %s: platform answers %s", method, key, response.Status)
+	}
+	return body, response.Header, nil
+}
--- /dev/null
+++ b/bench/load/caller.go
@@ -0,0 +1,121 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/standin/backend"
+)
+
+// The headers of the mesh's answers to callers.
+const (
+	headerOutcome = "Marjoramsaddle-Outcome"
+	headerReason  = "Marjoramsaddle-Reason"
+)
+
+const (
+	idlePerHost   = 512
+	dialTimeout   = 2 * time.Second
+	noReason      = "none_given"
+	maxAnswerSize = backend.MaxFileBytes + 1
+)
+
+// Caller sends calls and verifies their answers.
+type Caller struct {
+	client    *http.Client
+	addresses []string
+	next      atomic.Uint64
+}
+
+// NewCaller returns a caller that spreads its calls over the addresses in turn.
+func NewCaller(addresses []string) *Caller {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		DisableCompression:  true,
+	}
+	return &Caller{client: &http.Client{Transport: transport}, addresses: addresses}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Do sends one call and returns what the caller saw. The latency counts from
+// the scheduled arrival.
+func (c *Caller) Do(ctx context.Context, call Call, arrival time.Time) Record {
+	record := Record{Call: call}
+	deadline := arrival.Add(call.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	request, err := c.request(ctx, call, deadline)
+	if err != nil {
+		record.Verdict, record.Detail = Unknown, err.Error()
+		return record
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		record.Verdict, record.Detail = Unknown, err.Error()
+		return record
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
+	record.Latency = time.Since(arrival)
+	judge(&record, response, body, err)
+	return record
+}
+
+func (c *Caller) request(ctx context.Context, call Call, deadline time.Time) (*http.Request, error) {
+	address := c.addresses[(c.next.Add(1)-1)%uint64(len(c.addresses))]
+	body := bytes.NewReader([]byte(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, body)
+	if err != nil {
+		return nil, fmt.Errorf("build call: %w", err)
+	}
+	// Without GetBody the transport never repeats a call by itself, which would
+	// be counted as a doubled order.
+	request.GetBody = nil
+	request.Header.Set(backend.HeaderCallID, call.ID)
+	request.Header.Set(backend.HeaderToken, call.Token)
+	request.Header.Set(backend.HeaderDeadline, strconv.FormatInt(deadline.UnixMicro(), 10))
+	if call.Key != "" {
+		request.Header.Set(backend.HeaderIdempotencyKey, call.Key)
+	}
+	return request, nil
+}
+
+// judge sets the verdict on an answer. A body that breaks off with an error is
+// an unknown outcome; one that ends early without an error is truncated.
+func judge(record *Record, response *http.Response, body []byte, err error) {
+	record.Reason = response.Header.Get(headerReason)
+	switch {
+	case err != nil:
+		record.Verdict, record.Detail = Unknown, err.Error()
+	case response.StatusCode == http.StatusOK:
+		record.Verdict, record.Detail = verify(record.Call, response.Header, body)
+	case notRun(response):
+		record.Verdict = RefusedNotRun
+	default:
+		record.Verdict, record.Detail = Unknown, response.Status
+	}
+	if record.Verdict == RefusedNotRun && record.Reason == "" {
+		record.Reason = noReason
+	}
+}
+
+// notRun reports whether an answer claims that the call did not run. A backend
+// server that is called directly gives no outcome header; it sheds with 503.
+func notRun(response *http.Response) bool {
+	outcome := response.Header.Get(headerOutcome)
+	if outcome != "" {
+		return outcome == refusal.NotRun.String()
+	}
+	return response.StatusCode == http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/bench/load/report.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// The histogram covers 1 µs to 1 min.
+	histogramMaxMicros   = int64(time.Minute / time.Microsecond)
+	histogramFigures     = 3
+	p50, p99             = 50, 99
+	microsPerMillisecond = 1000
+)
+
+// Report is the JSON object that the load experiment prints.
+type Report struct {
+	Calls         int `json:"calls"`
+	OK            int `json:"ok"`
+	RefusedNotRun int `json:"refused_not_run"`
+	UnknownResult int `json:"unknown_outcome"`
+	// WrongAnswers counts answers to other calls or with other content, answers
+	// to calls that never ran, and refusals as not run of calls that ran.
+	WrongAnswers int `json:"wrong_answers"`
+	Truncated    int `json:"truncated"`
+	Doubled      int `json:"doubled"`
+	LostInStop   int `json:"lost_in_stop"`
+	// The added latency is the caller's latency less the time at the backend
+	// server.
+	AddedMsP50 float64 `json:"added_ms_p50"`
+	AddedMsP99 float64 `json:"added_ms_p99"`
+	// GoodputShare is the share of the lower of offered load and capacity that
+	// was answered.
+	GoodputShare float64 `json:"goodput_share"`
+	// RetriesShare is the number of further attempts per call.
+	RetriesShare           float64        `json:"retries_share"`
+	NewWorkAfterLeaveMsMax float64        `json:"new_work_after_leave_ms_max"`
+	Refusals               map[string]int `json:"refusals"`
+	UnknownDetails         map[string]int `json:"-"`
+	WithoutAddedLatency    int            `json:"-"` // answered calls without exactly one finished row
+}
+
+// NewReport sums up a run. The capacity is in calls per second; 0 stands for a
+// capacity that the offered load does not reach.
+func NewReport(records []Record, comparison Comparison, capacity float64, plan Plan) Report {
+	report := Report{
+		Calls:                  len(records),
+		Doubled:                comparison.Doubled,
+		LostInStop:             comparison.LostInStop,
+		WrongAnswers:           comparison.Lost + comparison.RanThoughRefused,
+		NewWorkAfterLeaveMsMax: float64(comparison.NewWorkAfterLeave) / float64(time.Millisecond),
+		Refusals:               map[string]int{},
+		UnknownDetails:         map[string]int{},
+	}
+	added := hdrhistogram.New(1, histogramMaxMicros, histogramFigures)
+	for _, record := range records {
+		report.count(record)
+		if record.Verdict == OK {
+			report.addLatency(added, record, comparison.ServiceTimes)
+		}
+	}
+	report.AddedMsP50 = float64(added.ValueAtQuantile(p50)) / microsPerMillisecond
+	report.AddedMsP99 = float64(added.ValueAtQuantile(p99)) / microsPerMillisecond
+	report.shares(comparison, capacity, plan)
+	return report
+}
+
+func (r *Report) count(record Record) {
+	switch record.Verdict {
+	case OK:
+		r.OK++
+	case RefusedNotRun:
+		r.RefusedNotRun++
+		r.Refusals[record.Reason]++
+	case Unknown:
+		r.UnknownResult++
+		r.UnknownDetails[record.Detail]++
+	case Wrong:
+		r.WrongAnswers++
+	case Truncated:
+		r.Truncated++
+	}
+}
+
+func (r *Report) addLatency(added *hdrhistogram.Histogram, record Record, services map[string]time.Duration) {
+	service, ok := services[record.Call.ID]
+	if !ok {
+		r.WithoutAddedLatency++
+		return
+	}
+	micros := max((record.Latency - service).Microseconds(), 0)
+	// The value is within the histogram's range, so recording can't fail.
+	_ = added.RecordValue(min(micros, histogramMaxMicros))
+}
+
+func (r *Report) shares(comparison Comparison, capacity float64, plan Plan) {
+	if r.Calls == 0 {
+		return
+	}
+	r.RetriesShare = float64(comparison.ExtraAttempts) / float64(r.Calls)
+	reachable := float64(r.Calls)
+	if capacity > 0 {
+		reachable = min(reachable, capacity*plan.Duration.Seconds())
+	}
+	r.GoodputShare = float64(r.OK) / reachable
+}
