Add recorded kernel events and their replay

Cause: the proofs replay control events without sockets or clocks, and operators record them. Before: no trace.

--- /dev/null
+++ b/core/trace/event.go
@@ -0,0 +1,155 @@
+package trace
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+	"marjoramsaddle/core/message"
+
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// The forms of the events in a trace. Each converts to its event, so a field
+// that is added to an event and not here does not compile.
+type (
+	linkUp struct {
+		Host     id.Host   `json:"host"`
+		Domain   id.Domain `json:"failure_domain"`
+		Outbound bool      `json:"outbound,omitempty"`
+	}
+	linkDown struct {
+		Host id.Host `json:"host"`
+	}
+	received struct {
+		Host  id.Host         `json:"host"`
+		Frame json.RawMessage `json:"frame"`
+	}
+	manifestRead struct {
+		Index      id.Version `json:"index"`
+		Data       []byte     `json:"data,omitempty"`
+		Consistent bool       `json:"consistent,omitempty"`
+	}
+	partRead struct {
+		Digest id.Digest `json:"digest"`
+		Data   []byte    `json:"data,omitempty"`
+	}
+	hostListRead struct {
+		Domain id.Domain  `json:"failure_domain"`
+		Index  id.Version `json:"index"`
+		Data   []byte     `json:"data,omitempty"`
+	}
+	readFailed struct {
+		Read  kernel.Read `json:"read"`
+		Cause string      `json:"cause"`
+	}
+	backendState struct {
+		Ready    bool `json:"ready"`
+		Draining bool `json:"draining"`
+	}
+	statusRequested struct {
+		ID       uint64     `json:"id"`
+		Deadline id.Instant `json:"deadline"`
+	}
+)
+
+// form is the body of an event in a trace. It is nil for events without
+// fields.
+func form(event kernel.Event) (any, error) {
+	switch event := event.(type) {
+	case kernel.Tick, kernel.DrainRequested:
+		return nil, nil
+	case kernel.LinkUp:
+		return linkUp(event), nil
+	case kernel.LinkDown:
+		return linkDown(event), nil
+	case kernel.Received:
+		frame, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(event.Frame)
+		return received{Host: event.Host, Frame: frame}, err
+	case kernel.ManifestRead:
+		return manifestRead(event), nil
+	case kernel.PartRead:
+		return partRead(event), nil
+	case kernel.HostListRead:
+		return hostListRead(event), nil
+	case kernel.ReadFailed:
+		return readFailed(event), nil
+	case kernel.BackendState:
+		return backendState(event), nil
+	case kernel.StatusRequested:
+		return statusRequested(event), nil
+	default:
+		return nil, fmt.Errorf("event %s has no form in a trace", event.EventName())
+	}
+}
+
+func encode(event kernel.Event) (json.RawMessage, error) {
+	body, err := form(event)
+	if body == nil || err != nil {
+		return nil, err
+	}
+	return json.Marshal(body)
+}
+
+func decode(name string, body json.RawMessage) (kernel.Event, error) {
+	switch name {
+	case kernel.Tick{}.EventName():
+		return kernel.Tick{}, nil
+	case kernel.DrainRequested{}.EventName():
+		return kernel.DrainRequested{}, nil
+	case kernel.Received{}.EventName():
+		return decodeReceived(body)
+	case kernel.LinkUp{}.EventName():
+		read, err := decodeForm[linkUp](body)
+		return kernel.LinkUp(read), err
+	case kernel.LinkDown{}.EventName():
+		read, err := decodeForm[linkDown](body)
+		return kernel.LinkDown(read), err
+	default:
+		return decodePlatform(name, body)
+	}
+}
+
+func decodePlatform(name string, body json.RawMessage) (kernel.Event, error) {
+	switch name {
+	case kernel.ManifestRead{}.EventName():
+		read, err := decodeForm[manifestRead](body)
+		return kernel.ManifestRead(read), err
+	case kernel.PartRead{}.EventName():
+		read, err := decodeForm[partRead](body)
+		return kernel.PartRead(read), err
+	case kernel.HostListRead{}.EventName():
+		read, err := decodeForm[hostListRead](body)
+		return kernel.HostListRead(read), err
+	case kernel.ReadFailed{}.EventName():
+		read, err := decodeForm[readFailed](body)
+		return kernel.ReadFailed(read), err
+	case kernel.BackendState{}.EventName():
+		read, err := decodeForm[backendState](body)
+		return kernel.BackendState(read), err
+	case kernel.StatusRequested{}.EventName():
+		read, err := decodeForm[statusRequested](body)
+		return kernel.StatusRequested(read), err
+	default:
+		return nil, fmt.Errorf("event %q is unknown", name)
+	}
+}
+
+func decodeForm[T any](body json.RawMessage) (T, error) {
+	var read T
+	err := json.Unmarshal(body, &read)
+	return read, err
+}
+
+func decodeReceived(body json.RawMessage) (kernel.Event, error) {
+	read, err := decodeForm[received](body)
+	if err != nil {
+		return nil, err
+	}
+	frame := &message.Frame{}
+	if err := protojson.Unmarshal(read.Frame, frame); err != nil {
+		return nil, err
+	}
+	return kernel.Received{Host: read.Host, Frame: frame}, nil
+}
--- /dev/null
+++ b/core/trace/trace.go
@@ -0,0 +1,131 @@
+// Package trace records the events of a kernel and replays them without
+// sockets or clocks. A trace has one JSON object a line: the time in Unix
+// nanoseconds, the name of the event and its fields.
+//
+// Usage:
+//
+//	writer := trace.NewWriter(file)
+//	err := writer.Write(now, kernel.Tick{})
+//
+//	records, err := trace.ReadAll(file)
+//	steps := trace.Replay(env, records)
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+)
+
+// maxLineBytes bounds one line. A control message of 8 MiB takes 11 MiB in
+// base64.
+const maxLineBytes = 16 << 20
+
+// Record is one event with its time.
+type Record struct {
+	At    id.Instant
+	Event kernel.Event
+}
+
+// line is the form of a record in a trace.
+type line struct {
+	At    id.Instant      `json:"at"`
+	Event string          `json:"event"`
+	Body  json.RawMessage `json:"body,omitempty"`
+}
+
+// Writer writes records.
+type Writer struct{ out *json.Encoder }
+
+// NewWriter returns a writer to out.
+func NewWriter(out io.Writer) *Writer { return &Writer{out: json.NewEncoder(out)} }
+
+// Write appends one event.
+func (w *Writer) Write(at id.Instant, event kernel.Event) error {
+	body, err := encode(event)
+	if err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	if err := w.out.Encode(line{At: at, Event: event.EventName(), Body: body}); err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	return nil
+}
+
+// Reader reads records.
+type Reader struct {
+	lines  *bufio.Scanner
+	number int
+}
+
+// NewReader returns a reader of in.
+func NewReader(in io.Reader) *Reader {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, maxLineBytes)
+	return &Reader{lines: lines}
+}
+
+// Next returns the next record, or io.EOF at the end.
+func (r *Reader) Next() (Record, error) {
+	if !r.lines.Scan() {
+		if err := r.lines.Err(); err != nil {
+			return Record{}, fmt.Errorf("read trace: line %d: %w: shorten or remove the line", r.number+1, err)
+		}
+		return Record{}, io.EOF
+	}
+	r.number++
+	record, err := parse(r.lines.Bytes())
+	if err != nil {
+		return Record{}, fmt.Errorf("read trace: line %d: %w: record the trace again", r.number, err)
+	}
+	return record, nil
+}
+
+func parse(data []byte) (Record, error) {
+	var read line
+	if err := json.Unmarshal(data, &read); err != nil {
+		return Record{}, err
+	}
+	event, err := decode(read.Event, read.Body)
+	return Record{At: read.At, Event: event}, err
+}
+
+// ReadAll returns all records of a trace.
+func ReadAll(in io.Reader) ([]Record, error) {
+	var records []Record
+	reader := NewReader(in)
+	for {
+		record, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return records, nil
+		}
+		if err != nil {
+			return records, err
+		}
+		records = append(records, record)
+	}
+}
+
+// Step is one action with the time of the event that caused it.
+type Step struct {
+	At     id.Instant
+	Action kernel.Action
+}
+
+// Replay feeds the events to a new kernel with the plug-ins that the program
+// has linked in, and returns the actions.
+func Replay(env kernel.Environment, records []Record) []Step {
+	var steps []Step
+	k := kernel.New(env)
+	for _, record := range records {
+		for _, action := range k.Step(record.At, record.Event) {
+			steps = append(steps, Step{At: record.At, Action: action})
+		}
+	}
+	return steps
+}
