--- /dev/null
+++ b/core/spread/network_test.go
@@ -0,0 +1,379 @@
+package spread_test
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/endpoint"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+	"marjoramsaddle/core/manifest"
+	"marjoramsaddle/core/message"
+	"marjoramsaddle/core/snapshot"
+	_ "marjoramsaddle/core/spread"
+)
+
+func TestMain(m *testing.M) {
+	kernel.Register("overlay", newFakeOverlay)
+	os.Exit(m.Run())
+}
+
+// fakeOverlay stands in for the overlay and membership plug-ins.
+type fakeOverlay struct {
+	shared *kernel.Shared
+	beatAt id.Instant
+}
+
+func newFakeOverlay(env kernel.Environment, shared *kernel.Shared) kernel.Plugin {
+	shared.Table.Merge(env.Self)
+	return &fakeOverlay{shared: shared}
+}
+
+func (o *fakeOverlay) Handle(at id.Instant, event kernel.Event, out *kernel.Output) {
+	switch event := event.(type) {
+	case kernel.LinkUp:
+		o.shared.Links[event.Host] = &kernel.Link{Host: event.Host, Domain: event.Domain}
+		out.Do(kernel.Send{Host: event.Host, Frame: o.hello()})
+	case kernel.LinkDown:
+		delete(o.shared.Links, event.Host)
+		o.shared.Table.Remove(event.Host)
+	case kernel.Tick:
+		if at.Sub(o.beatAt) >= time.Second {
+			o.beatAt = at
+			o.beat(out)
+		}
+	case kernel.Received:
+		o.receive(at, event)
+	}
+}
+
+func (o *fakeOverlay) hello() *message.Frame {
+	self := o.shared.Env.Self
+	return &message.Frame{Body: &message.Frame_Hello{Hello: &message.Hello{
+		Host: string(self.Host), FailureDomain: string(self.Domain), Held: uint64(o.shared.HeldVersion()),
+		InForce: uint64(o.shared.InForceVersion()), HasMemory: o.shared.Held != nil,
+	}}}
+}
+
+func (o *fakeOverlay) beat(out *kernel.Output) {
+	for _, host := range o.shared.LinkHosts() {
+		out.Do(kernel.Send{Host: host, Frame: &message.Frame{Body: &message.Frame_Heartbeat{Heartbeat: &message.Heartbeat{
+			Held: uint64(o.shared.HeldVersion()), InForce: uint64(o.shared.InForceVersion()),
+			Refused: uint64(o.shared.Refused), HasMemory: o.shared.Held != nil,
+		}}}})
+	}
+}
+
+func (o *fakeOverlay) receive(at id.Instant, event kernel.Received) {
+	link := o.shared.Links[event.Host]
+	if link == nil {
+		return
+	}
+	link.HeardAt = at
+	if hello := event.Frame.GetHello(); hello != nil {
+		link.Greeted, link.Held, link.HasMemory = true, id.Version(hello.GetHeld()), hello.GetHasMemory()
+		o.shared.Table.Merge(endpoint.Entry{Host: event.Host, Domain: link.Domain})
+	}
+	if beat := event.Frame.GetHeartbeat(); beat != nil {
+		link.Held, link.InForce = id.Version(beat.GetHeld()), id.Version(beat.GetInForce())
+	}
+}
+
+// publication is what the fake platform has under one index.
+type publication struct {
+	manifest []byte
+	parts    map[id.Digest][]byte
+	digest   id.Digest
+}
+
+// node is one kernel in the network.
+type node struct {
+	env      kernel.Environment
+	kernel   *kernel.Kernel
+	life     int
+	paused   bool
+	backlog  []kernel.Event
+	ready    kernel.Readiness
+	inForce  id.Version
+	servedAt id.Instant
+	counts   map[string]int
+	watch    bool
+}
+
+type delivery struct {
+	at    id.Instant
+	order int
+	host  id.Host
+	life  int
+	event kernel.Event
+}
+
+// network runs kernels against each other in virtual time and records every
+// broken promise in faults.
+type network struct {
+	t        testing.TB
+	now      id.Instant
+	order    int
+	random   *rand.Rand
+	nodes    map[id.Host]*node
+	hosts    []id.Host
+	links    map[[2]id.Host]bool
+	queue    []delivery
+	versions map[id.Version]publication
+	// serving is the index that the platform answers with; zero is an outage.
+	serving    id.Version
+	consistent bool
+	drop       func(from, to id.Host, frame *message.Frame) bool
+	ran        map[id.Host]id.Version
+	faults     []string
+}
+
+func newNetwork(t testing.TB, seed uint64) *network {
+	return &network{
+		t: t, now: id.Instant(time.Hour), random: rand.New(rand.NewPCG(seed, 1)), nodes: map[id.Host]*node{},
+		links: map[[2]id.Host]bool{}, versions: map[id.Version]publication{}, consistent: true,
+		ran: map[id.Host]id.Version{}, drop: func(id.Host, id.Host, *message.Frame) bool { return false },
+	}
+}
+
+// start runs a new process on a host. Its failure domain is the first letter.
+func (n *network) start(host id.Host, options kernel.Options, platform bool) *node {
+	life := 1
+	if old := n.nodes[host]; old != nil {
+		life = old.life + 1
+	} else {
+		n.hosts = append(n.hosts, host)
+	}
+	env := kernel.Environment{
+		Self:        endpoint.Entry{Host: host, Domain: id.Domain(host[:1]), Incarnation: id.Incarnation(n.now)},
+		Seeds:       []kernel.Seed{{Host: "seed", Domain: id.Domain(host[:1])}},
+		HasPlatform: platform, RandomSeed: uint64(host[1]), Options: options,
+	}
+	started := &node{env: env, kernel: kernel.New(env), life: life, counts: map[string]int{}}
+	n.nodes[host] = started
+	n.deliver(host, 0, kernel.Tick{})
+	return started
+}
+
+func (n *network) stop(host id.Host) {
+	for _, other := range n.hosts {
+		n.unlink(host, other)
+	}
+	n.nodes[host].life++
+	n.nodes[host].kernel = nil
+}
+
+func (n *network) link(a, b id.Host) {
+	n.links[[2]id.Host{a, b}], n.links[[2]id.Host{b, a}] = true, true
+	n.deliver(a, 0, kernel.LinkUp{Host: b, Domain: id.Domain(b[:1]), Outbound: true})
+	n.deliver(b, 0, kernel.LinkUp{Host: a, Domain: id.Domain(a[:1])})
+}
+
+func (n *network) unlink(a, b id.Host) {
+	if !n.links[[2]id.Host{a, b}] {
+		return
+	}
+	delete(n.links, [2]id.Host{a, b})
+	delete(n.links, [2]id.Host{b, a})
+	n.deliver(a, 0, kernel.LinkDown{Host: b})
+	n.deliver(b, 0, kernel.LinkDown{Host: a})
+}
+
+// mesh starts hosts that are all linked to each other.
+func (n *network) mesh(options kernel.Options, hosts ...id.Host) {
+	for index, host := range hosts {
+		n.start(host, options, true)
+		for _, other := range hosts[:index] {
+			n.link(host, other)
+		}
+	}
+}
+
+func (n *network) deliver(host id.Host, after time.Duration, event kernel.Event) {
+	n.order++
+	n.queue = append(n.queue, delivery{n.now.Add(after), n.order, host, n.nodes[host].life, event})
+}
+
+// run lets time pass.
+func (n *network) run(span time.Duration) {
+	for end := n.now.Add(span); ; {
+		if len(n.queue) == 0 {
+			n.now = end
+			return
+		}
+		next := slices.MinFunc(n.queue, func(a, b delivery) int {
+			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order))
+		})
+		if next.at > end {
+			n.now = end
+			return
+		}
+		n.queue = slices.DeleteFunc(n.queue, func(d delivery) bool { return d.order == next.order })
+		n.now = next.at
+		n.handle(next)
+	}
+}
+
+func (n *network) handle(next delivery) {
+	to := n.nodes[next.host]
+	if to.life != next.life {
+		return
+	}
+	if _, tick := next.event.(kernel.Tick); tick {
+		n.deliver(next.host, kernel.TickInterval, kernel.Tick{})
+		if to.paused {
+			return
+		}
+	}
+	if to.paused {
+		to.backlog = append(to.backlog, next.event)
+		return
+	}
+	n.step(next.host, to, next.event)
+}
+
+func (n *network) step(host id.Host, to *node, event kernel.Event) {
+	for _, action := range to.kernel.Step(n.now, event) {
+		n.act(host, to, action)
+	}
+}
+
+// resume ends a pause and delivers what arrived during it.
+func (n *network) resume(host id.Host) {
+	to := n.nodes[host]
+	to.paused = false
+	for _, event := range to.backlog {
+		n.step(host, to, event)
+	}
+	to.backlog = nil
+}
+
+func (n *network) act(host id.Host, from *node, action kernel.Action) {
+	switch action := action.(type) {
+	case kernel.Send:
+		if n.links[[2]id.Host{host, action.Host}] && !n.drop(host, action.Host, action.Frame) {
+			n.deliver(action.Host, time.Millisecond, kernel.Received{Host: host, Frame: action.Frame})
+		}
+	case kernel.ReadManifest:
+		n.answerManifest(host, from, action)
+	case kernel.ReadPart:
+		for _, published := range n.versions {
+			if data, ok := published.parts[action.Part.SHA256]; ok {
+				n.deliver(host, 5*time.Millisecond, kernel.PartRead{Digest: action.Part.SHA256, Data: data})
+				return
+			}
+		}
+		n.deliver(host, 5*time.Millisecond, kernel.ReadFailed{Read: kernel.ReadKindPart})
+	case kernel.Publish:
+		n.faults = append(n.faults, n.check(host, action)...)
+		from.inForce = action.View.Version
+	case kernel.SetReady:
+		from.ready = action.Ready
+		from.servedAt = n.now
+	case kernel.Count:
+		from.counts[action.Name]++
+	}
+}
+
+func (n *network) answerManifest(host id.Host, from *node, action kernel.ReadManifest) {
+	switch n.serving {
+	case 0:
+		n.deliver(host, 5*time.Millisecond, kernel.ReadFailed{Read: kernel.ReadKindManifest})
+	case action.After:
+		from.watch = true
+	default:
+		n.answer(host, n.serving)
+	}
+}
+
+func (n *network) answer(host id.Host, index id.Version) {
+	n.nodes[host].watch = false
+	n.deliver(host, 5*time.Millisecond, kernel.ManifestRead{
+		Index: index, Data: n.versions[index].manifest, Consistent: n.consistent,
+	})
+}
+
+// check returns the promises that a view put in force breaks.
+func (n *network) check(host id.Host, action kernel.Publish) []string {
+	var faults []string
+	version := action.View.Version
+	if version < n.ran[host] {
+		faults = append(faults, fmt.Sprintf("%s went from %d to %d", host, n.ran[host], version))
+	}
+	n.ran[host] = max(n.ran[host], version)
+	if dangling := action.View.Dangling(); len(dangling) > 0 {
+		faults = append(faults, fmt.Sprintf("%s runs dangling routes %v of %d", host, dangling, version))
+	}
+	known, published := n.versions[version]
+	if !published || known.digest != action.Snapshot.Digest || action.View.Digest != action.Snapshot.Digest {
+		faults = append(faults, fmt.Sprintf("%s runs %d, which is not a whole published version", host, version))
+	}
+	return faults
+}
+
+// publish stores a publication without making the platform answer with it. An
+// invalid one has no digest that could come into force.
+func (n *network) publish(version id.Version, parts ...string) {
+	published := publication{parts: map[id.Digest][]byte{}}
+	entry := manifest.Manifest{Format: manifest.Format}
+	for _, text := range parts {
+		digest := id.DigestOf([]byte(text))
+		published.parts[digest] = []byte(text)
+		entry.Parts = append(entry.Parts, manifest.Part{SHA256: digest, Bytes: len(text)})
+	}
+	if set, err := entry.Assemble(published.parts); err == nil {
+		published.digest = snapshot.New(version, set).Digest
+	}
+	published.manifest, _ = json.Marshal(entry)
+	n.versions[version] = published
+}
+
+// serve makes the platform answer with an index and ends the waiting reads.
+func (n *network) serve(version id.Version) {
+	n.serving = version
+	for _, host := range n.hosts {
+		if n.nodes[host].watch && n.nodes[host].kernel != nil {
+			n.answer(host, version)
+		}
+	}
+}
+
+// release publishes a valid configuration of two parts and serves it.
+func (n *network) release(version id.Version) {
+	n.publish(version, services(version), routes(version, "counter"))
+	n.serve(version)
+}
+
+func services(version id.Version) string {
+	return fmt.Sprintf(`[{"kind":"service","name":"counter","slots":%d,"connections":130}]`, version)
+}
+
+func routes(version id.Version, service string) string {
+	return fmt.Sprintf(`[{"kind":"configuration","name":"all","routes":[{"name":"stock","path_prefix":"/stock",`+
+		`"service":%q,"timeout_ms":%d,"class":"lookup"}]}]`, service, 1000+version)
+}
+
+// unchecked returns a snapshot that was never validated.
+func unchecked(version id.Version, text string) *snapshot.Snapshot {
+	set := document.NewSet()
+	_ = set.Add("test", []byte(text))
+	return snapshot.New(version, set)
+}
+
+// converged reports whether all running hosts serve the version.
+func (n *network) converged(version id.Version) bool {
+	for _, host := range n.hosts {
+		node := n.nodes[host]
+		if node.kernel != nil && (node.inForce != version || node.ready != kernel.Serving) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/spread/register.go
@@ -0,0 +1,9 @@
+package spread
+
+import "marjoramsaddle/core/kernel"
+
+func init() {
+	kernel.Register("spread", func(env kernel.Environment, shared *kernel.Shared) kernel.Plugin {
+		return newPlugin(env, shared)
+	})
+}
