Decide repeats with core/retry in the path of calls

Cause: the caller's handler had rules for repeats of its own, beside those of core/retry. Ruled out: keeping both, because the two lists of transient reasons already differed. Before: two lists of reasons, depth counted from zero. After: one; depth counts calls in the chain from one, as core/retry does.

--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -13,7 +13,6 @@
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/io/backend"
-	"marjoramsaddle/io/caller"
 	"marjoramsaddle/io/hop"
 )
 
@@ -66,30 +65,36 @@
 type budgets struct {
 	unbounded bool
 	mu        sync.Mutex
-	services  map[id.Service]*serviceBudget
+	services  map[id.Service]serviceBudget
 }
 
 type serviceBudget struct {
-	percent   int
-	unbounded bool
-	*retry.Budget
+	percent int
+	budget  *retry.Budget
 }
 
-// Allow takes one repeat out of the budget.
-func (b *serviceBudget) Allow(at id.Instant) bool { return b.unbounded || b.Budget.Allow(at) }
+// unboundedPerSecond is a number of repeats that no load reaches.
+const unboundedPerSecond = 1e9
 
-func (b *budgets) get(service id.Service, percent int) caller.Budget {
+func (b *budgets) get(service id.Service, percent int) *retry.Budget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.services == nil {
-		b.services = map[id.Service]*serviceBudget{}
+		b.services = map[id.Service]serviceBudget{}
+	}
+	known, ok := b.services[service]
+	if !ok || known.percent != percent {
+		known = serviceBudget{percent: percent, budget: b.create(percent)}
+		b.services[service] = known
 	}
-	budget := b.services[service]
-	if budget == nil || budget.percent != percent {
-		budget = &serviceBudget{percent: percent, unbounded: b.unbounded, Budget: retry.NewBudget(percent)}
-		b.services[service] = budget
+	return known.budget
+}
+
+func (b *budgets) create(percent int) *retry.Budget {
+	if b.unbounded {
+		return retry.NewBudget(percent, retry.WithMinimum(unboundedPerSecond))
 	}
-	return budget
+	return retry.NewBudget(percent)
 }
 
 // limits holds the rate limit of each service.
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -22,6 +22,7 @@
 	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/retry"
 	"marjoramsaddle/io/hop"
 )
 
@@ -122,12 +123,10 @@
 	switch {
 	case call.Service != s.options.Service:
 		return refusal.New(refusal.NoEndpoint, refusal.NotRun)
-	case call.Depth > hop.MaxDepth:
-		return refusal.New(refusal.DepthExceeded, refusal.NotRun)
 	case call.Deadline.Before(s.options.Now()):
 		return refusal.New(refusal.DeadlinePassed, refusal.NotRun)
 	default:
-		return nil
+		return retry.CheckDepth(call.Depth)
 	}
 }
 
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -2,72 +2,64 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/retry"
 	"marjoramsaddle/io/hop"
 )
 
-// backoffBase is the wait before the first repeat; it doubles with each
-// further one.
-const backoffBase = 2 * time.Millisecond
-
 // attempts sends the call until an attempt succeeds or may not be repeated.
 func (h *Handler) attempts(r *http.Request, p *plan, body *replayBody) (*http.Response, *refusal.Error) {
 	budget := h.options.Budget(p.route.Service, p.policy.BudgetPercent)
-	budget.First(h.options.Now())
+	budget.First()
+	marked := p.call.Retry
 	var tried []id.Host
-	var refused *refusal.Error
-	for attempt := 1; ; attempt++ {
-		var response *http.Response
-		var host id.Host
-		response, host, refused = h.attempt(r, p, body, tried)
+	for number := 1; ; number++ {
+		response, host, refused := h.attempt(r, p, body, tried)
 		if refused == nil {
 			return response, nil
 		}
 		tried = append(tried, host)
-		if stop := h.stop(p, body, budget, attempt, refused); stop != nil {
-			return nil, stop
+		if !body.rewind() {
+			return nil, refused
+		}
+		next := retry.Decide(h.failed(p, number, marked, refused), budget)
+		if !next.Repeat {
+			return nil, h.ended(refused, next)
 		}
 		h.options.Record.Retry(refused.Reason)
 		p.call.Retry = true
-		if !wait(r, attempt) {
+		if !wait(r, next.At.Sub(h.options.Now())) {
 			return nil, refusal.New(refusal.CallerGone, refused.Outcome)
 		}
 	}
 }
 
-// stop returns the refusal that ends the call, or nil when the attempt may be
-// repeated. The outcome of the last attempt stays with the refusal.
-func (h *Handler) stop(p *plan, body *replayBody, budget Budget, attempt int, refused *refusal.Error) *refusal.Error {
-	now := h.options.Now()
-	safe := refused.Outcome == refusal.NotRun || p.route.Idempotent
-	switch {
-	case !safe, !repeatable(refused.Reason), !body.rewind():
-		return refused
-	case attempt >= p.policy.Attempts, p.call.Retry && attempt == 1:
-		return refused
-	case p.call.Deadline.Before(now):
-		return refusal.Wrap(refusal.DeadlinePassed, refused.Outcome, refused)
-	case !budget.Allow(now):
-		h.options.Record.Refusal(refusal.RetryBudgetSpent)
-		return refused
-	default:
-		return nil
+func (h *Handler) failed(p *plan, number int, marked bool, refused *refusal.Error) retry.Attempt {
+	return retry.Attempt{
+		Number:     number,
+		Limit:      p.policy.Attempts,
+		Depth:      p.call.Depth,
+		Idempotent: p.route.Idempotent,
+		Marked:     marked,
+		Refused:    refused,
+		Now:        h.options.Now(),
+		Deadline:   p.call.Deadline,
+		Random:     rand.Uint64(),
 	}
 }
 
-// repeatable reports whether another host may answer where one has refused.
-func repeatable(reason refusal.Reason) bool {
-	switch reason {
-	case refusal.Leaving, refusal.QueueFull, refusal.QueueDeadline, refusal.ConnectFailed, refusal.HopBroken,
-		refusal.BackendBroken, refusal.BackendShed, refusal.NoEndpoint, refusal.Resyncing, refusal.Busy:
-		return true
-	default:
-		return false
+// ended returns the refusal of the last attempt. A rule that forbids the
+// repeat is counted beside it, so that operators see both.
+func (h *Handler) ended(refused *refusal.Error, next retry.Decision) *refusal.Error {
+	if next.Reason != refused.Reason {
+		h.options.Record.Refusal(next.Reason)
 	}
+	return refused
 }
 
 func (h *Handler) attempt(r *http.Request, p *plan, body *replayBody, tried []id.Host) (*http.Response, id.Host, *refusal.Error) {
@@ -104,10 +96,9 @@
 	return out
 }
 
-// wait sleeps before a repeat, with full jitter, and reports whether the call
-// is still wanted.
-func wait(r *http.Request, attempt int) bool {
-	timer := time.NewTimer(jitter(backoffBase << (attempt - 1)))
+// wait sleeps before a repeat and reports whether the call is still wanted.
+func wait(r *http.Request, span time.Duration) bool {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync"
-	"time"
 
 	"marjoramsaddle/core/refusal"
 )
@@ -105,7 +103,3 @@
 	b.once.Do(func() { b.finish(b.failed) })
 	return err
 }
-
-func jitter(most time.Duration) time.Duration {
-	return time.Duration(rand.Int64N(int64(most) + 1))
-}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -20,6 +20,7 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/retry"
 	"marjoramsaddle/core/snapshot"
 	"marjoramsaddle/io/hop"
 )
@@ -36,14 +37,6 @@
 	Do(host id.Host, request *http.Request, call hop.Call) (*http.Response, *refusal.Error)
 }
 
-// Budget bounds repeats.
-type Budget interface {
-	// First counts a first attempt.
-	First(now id.Instant)
-	// Allow takes one repeat out of the budget, or reports that it is spent.
-	Allow(now id.Instant) bool
-}
-
 // Recorder counts calls.
 type Recorder interface {
 	Call(outcome refusal.Outcome, took time.Duration)
@@ -57,7 +50,7 @@
 	Chooser Chooser
 	Sender  Sender
 	// Budget returns the retry budget of a service.
-	Budget func(service id.Service, percent int) Budget
+	Budget func(service id.Service, percent int) *retry.Budget
 	// Limit takes one call out of the rate limit of a service, or reports that
 	// it is spent.
 	Limit  func(service id.Service, perSecond int, now id.Instant) bool
@@ -166,6 +159,7 @@
 		Class:      p.route.Class,
 		Deadline:   p.arrived.Add(time.Duration(p.route.TimeoutMS) * time.Millisecond),
 		QueueMS:    p.policy.QueueMS,
+		Depth:      1,
 		Retry:      r.Header.Get(hop.HeaderRetry) == "1",
 		Idempotent: p.route.Idempotent,
 		Key:        r.Header.Get(hop.HeaderKey),
@@ -197,8 +191,5 @@
 		}
 		p.call.Depth = depth + 1
 	}
-	if p.call.Depth > hop.MaxDepth {
-		return refusal.New(refusal.DepthExceeded, refusal.NotRun)
-	}
-	return nil
+	return retry.CheckDepth(p.call.Depth)
 }
--- a/io/hop/call.go
+++ b/io/hop/call.go
@@ -34,10 +34,6 @@
 	HeaderKey      = "Idempotency-Key"
 )
 
-// MaxDepth is the greatest number of calls that one caller's request may
-// cause in a chain.
-const MaxDepth = 29
-
 // MaxHeaderBytes bounds the header of a request on every listener.
 const MaxHeaderBytes = 64 << 10
 
