Ignore the end of calls to an earlier process in the chooser

Cause: calls in flight to a host that dies fail together, and may end after its new process is announced. Ruled out: a longer slow start, which does not keep the failures from counting. Before: 20 such failures ejected the new process (TestEjection with the check off). After: they are counted down only.

--- a/core/balance/chooser.go
+++ b/core/balance/chooser.go
@@ -140,6 +140,11 @@
 		return
 	}
 	known.seen.finish()
+	if now.Add(-latency) < id.Instant(known.entry.Incarnation) {
+		// The call went to an earlier process of this host. Its failure must not
+		// eject the new one.
+		return
+	}
 	if known.seen.record(now, latency, result) {
 		c.eject(known, now)
 	}
--- a/core/balance/chooser_test.go
+++ b/core/balance/chooser_test.go
@@ -180,6 +180,10 @@
 		now = now.Add(span)
 		is.True(!chooser.table.Load().hosts[host].seen.ejected(now))
 	}
+	entries[0].Incarnation = id.Incarnation(now) + 1 // a new process
+	chooser.SetEndpoints(entries)
+	fail(now, host, 20) // calls to the old one end
+	is.True(!chooser.table.Load().hosts[host].seen.ejected(now))
 }
 
 func BenchmarkChoose(b *testing.B) {
