--- a/core/balance/chooser_test.go
+++ b/core/balance/chooser_test.go
@@ -180,9 +180,24 @@
 		now = now.Add(span)
 		is.True(!chooser.table.Load().hosts[host].seen.ejected(now))
 	}
+	entries[0].Incarnation = id.Incarnation(now) + 1 // a new process
+	chooser.SetEndpoints(entries)
+	fail(now, host, 20) // calls to the old one end
+	is.True(!chooser.table.Load().hosts[host].seen.ejected(now))
 }
 
 func BenchmarkChoose(b *testing.B) {
+	chooser := NewChooser("host-0-0", "domain-0", 1)
+	chooser.SetEndpoints(fleet(4, 250))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			_, _ = chooser.Choose("counter", epoch, nil)
+		}
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
 	for _, policy := range []Policy{LeastLoaded, RoundRobin, Random} {
 		b.Run(policy.String(), func(b *testing.B) {
 			chooser := NewChooser("host-0-0", "domain-0", 1, WithPolicy(policy))
