--- a/client/daemon.go
+++ b/client/daemon.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -67,22 +64,6 @@
 	return json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes))
 }
 
-func (f *daemonFlags) tlsConfig() (*tls.Config, error) {
-	pair, err := tls.LoadX509KeyPair(f.certificate, f.key)
-	if err != nil {
-		return nil, unreadable(err)
-	}
-	authority, err := os.ReadFile(f.authority)
-	if err != nil {
-		return nil, unreadable(err)
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(authority) {
-		return nil, &Error{Code: Usage, Problem: f.authority + " holds no certificate", Remedy: "name a PEM file"}
-	}
-	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: roots, MinVersion: tls.VersionTLS13}, nil
-}
-
 func (f *daemonFlags) status(ctx context.Context) (*gen.FleetStatus, error) {
 	client, err := f.connect()
 	if err != nil {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"strings"
@@ -36,9 +37,12 @@
 	Source Source
 	// Metrics serves /metrics; nil leaves it out.
 	Metrics http.Handler
-	// TLS makes the listener use mutual TLS. It must verify client
+	// TLS makes the listener use mutual TLS 1.3. It must verify client
 	// certificates. Nil is allowed on a loopback address only.
 	TLS *tls.Config
+	// ErrorLog takes the errors of connections, such as failed handshakes; nil
+	// means the standard logger.
+	ErrorLog *log.Logger
 }
 
 // Server is the operators' HTTP server of one daemon.
@@ -54,7 +58,9 @@
 		return nil, err
 	}
 	if options.TLS != nil {
-		listener = tls.NewListener(listener, options.TLS)
+		config := options.TLS.Clone()
+		config.MinVersion = tls.VersionTLS13
+		listener = tls.NewListener(listener, config)
 	}
 	return &Server{
 		listener: listener,
@@ -65,6 +71,7 @@
 			WriteTimeout:      writeDeadline,
 			IdleTimeout:       idleDeadline,
 			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          options.ErrorLog,
 		},
 	}, nil
 }
