--- a/client/client_test.go
+++ b/client/client_test.go
@@ -182,7 +182,7 @@
 // Guards against commands whose exit code, output or remedy changes under the
 // scripts of the operators.
 func TestCommands(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/commands", func(t *testing.T, path string) {
 		s := &script{folder: t.TempDir(), daemon: "127.0.0.1:1", stop: func() {}, nowhere: closedAddress(t)}
 		defer func() { s.stop() }()
 		datadriven.RunTest(t, path, s.run)
