--- a/client/client_test.go
+++ b/client/client_test.go
@@ -189,6 +189,35 @@
 	})
 }
 
+// stopAfter cancels the command when it has written a number of lines.
+type stopAfter struct {
+	lines  int
+	cancel context.CancelFunc
+}
+
+func (s *stopAfter) Write(data []byte) (int, error) {
+	s.lines -= bytes.Count(data, []byte("\n"))
+	if s.lines <= 0 {
+		s.cancel()
+	}
+	return len(data), nil
+}
+
+// Guards against a watch that ends at the first answer, or with an error when
+// the operator interrupts it.
+func TestWatchRepeatsUntilInterrupted(t *testing.T) {
+	is := is.New(t)
+	s := &script{stop: func() {}}
+	s.start(t, `{"Domains":[]}`)
+	defer func() { s.stop() }()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	out := &stopAfter{lines: 2, cancel: cancel}
+	code := client.Run(ctx, []string{"status", "--watch", "--output", "json", "--address", s.daemon}, out, io.Discard)
+	is.Equal(code, client.Good)
+	is.Equal(out.lines, 0)
+}
+
 // closedAddress returns an address on which nothing listens.
 func closedAddress(t *testing.T) string {
 	t.Helper()
