--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -62,7 +64,7 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		record.Verdict, record.Detail = Unknown, err.Error()
+		record.Verdict, record.Detail = Unknown, withoutURL(err).Error()
 		return record
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -72,6 +74,16 @@
 	return record
 }
 
+// withoutURL removes the call's own address from an error, so that errors of one
+// kind are counted together.
+func withoutURL(err error) error {
+	var urlError *url.Error
+	if errors.As(err, &urlError) {
+		return urlError.Err
+	}
+	return err
+}
+
 func (c *Caller) request(ctx context.Context, call Call, deadline time.Time) (*http.Request, error) {
 	address := c.addresses[(c.next.Add(1)-1)%uint64(len(c.addresses))]
 	body := bytes.NewReader([]byte(call.Body))
--- /dev/null
+++ b/bench/rig/rig.go
@@ -0,0 +1,251 @@
+// Package rig runs the stand-ins of a fleet as child processes: the platform
+// and one backend server per host.
+//
+// # Usage
+//
+//	r, err := rig.Start(ctx, rig.Options{Layout: layout, Folder: dir, ServiceTime: 5 * time.Millisecond})
+//	defer r.Kill()
+//	err = r.Backends[0].Process.Pause()
+//	err = r.Stop(ctx)
+//	journals, err := r.Journals()
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"marjoramsaddle/bench/fleet"
+	"marjoramsaddle/bench/process"
+	"marjoramsaddle/standin/backend"
+	"marjoramsaddle/standin/platform"
+)
+
+const (
+	platformProgram = "standin-platform"
+	backendProgram  = "standin-backend"
+	logMode         = 0o600
+	readyTimeout    = 30 * time.Second
+)
+
+// Options are the settings of a rig.
+type Options struct {
+	Layout *fleet.Layout
+	// Folder receives logs and journals.
+	Folder string
+	// Platform and PlatformControl are the platform's addresses.
+	Platform        netip.AddrPort
+	PlatformControl netip.AddrPort
+	ServiceTime     time.Duration
+	// DrainNotice is the time for which backend servers go on accepting calls
+	// after they were asked to stop.
+	DrainNotice time.Duration
+}
+
+// Backend is a host's backend server.
+type Backend struct {
+	Host    fleet.Host
+	Process *process.Process
+	journal string
+}
+
+// Rig is a set of running stand-ins.
+type Rig struct {
+	Platform *process.Process
+	Backends []*Backend
+	options  Options
+	logs     []*os.File
+}
+
+// Start starts all stand-ins and waits until they are ready. It leaves none
+// running when it fails.
+func Start(ctx context.Context, options Options) (*Rig, error) {
+	r := &Rig{options: options}
+	if err := r.start(ctx); err != nil {
+		r.Kill()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Rig) start(ctx context.Context) error {
+	if err := r.startPlatform(); err != nil {
+		return err
+	}
+	for _, host := range r.options.Layout.Hosts {
+		if err := r.startBackend(host); err != nil {
+			return err
+		}
+	}
+	return r.waitReady(ctx)
+}
+
+func (r *Rig) startPlatform() error {
+	started, err := r.spawn(platformProgram, platformProgram,
+		"--listen", r.options.Platform.String(),
+		"--control", r.options.PlatformControl.String())
+	r.Platform = started
+	return err
+}
+
+func (r *Rig) startBackend(host fleet.Host) error {
+	journal := filepath.Join(r.options.Folder, string(host.Name)+".journal")
+	started, err := r.spawn(backendProgram, string(host.Name),
+		"--name", string(host.Name),
+		"--listen", host.Backend.String(),
+		"--control", host.BackendControl.String(),
+		"--slots", strconv.Itoa(host.Service.Slots),
+		"--connections", strconv.Itoa(host.Service.Connections),
+		"--service-time", r.options.ServiceTime.String(),
+		"--drain-notice", r.options.DrainNotice.String(),
+		"--journal", journal)
+	if err != nil {
+		return err
+	}
+	r.Backends = append(r.Backends, &Backend{Host: host, Process: started, journal: journal})
+	return nil
+}
+
+// spawn starts a program of this repository with a log file of its own.
+func (r *Rig) spawn(program, name string, args ...string) (*process.Process, error) {
+	path, err := process.Sibling(program)
+	if err != nil {
+		return nil, err
+	}
+	log, err := os.OpenFile(filepath.Join(r.options.Folder, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, logMode)
+	if err != nil {
+		return nil, fmt.Errorf("create log of %s: %w", name, err)
+	}
+	r.logs = append(r.logs, log)
+	return process.Start(process.Spec{Path: path, Args: args, Output: log})
+}
+
+func (r *Rig) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	url := "http://" + r.options.PlatformControl.String() + "/counters"
+	if err := r.Platform.WaitReady(ctx, process.HTTPReady(url)); err != nil {
+		return err
+	}
+	for _, b := range r.Backends {
+		if err := b.Process.WaitReady(ctx, process.HTTPReady("http://"+b.Host.Backend.String()+"/healthz")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// SetFaults replaces the faults of a backend server.
+func (b *Backend) SetFaults(ctx context.Context, faults backend.Faults) error {
+	return post(ctx, "http://"+b.Host.BackendControl.String()+"/faults", faults)
+}
+
+// SetPlatformFaults replaces the faults of the platform.
+func (r *Rig) SetPlatformFaults(ctx context.Context, faults platform.Faults) error {
+	return post(ctx, "http://"+r.options.PlatformControl.String()+"/faults", faults)
+}
+
+// PlatformCounters returns the calls that the platform has counted.
+func (r *Rig) PlatformCounters(ctx context.Context) (platform.Counters, error) {
+	url := "http://" + r.options.PlatformControl.String() + "/counters"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return platform.Counters{}, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return platform.Counters{}, fmt.Errorf("read platform counters: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var counters platform.Counters
+	err = json.NewDecoder(response.Body).Decode(&counters)
+	return counters, err
+}
+
+func post(ctx context.Context, url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("set faults: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return fmt.Errorf("set faults: %s: %s", response.Status, bytes.TrimSpace(text))
+	}
+	return nil
+}
+
+// Stop asks all processes to stop at once and waits. Processes that have ended
+// before are no error.
+func (r *Rig) Stop(ctx context.Context) error {
+	defer r.closeLogs()
+	processes := r.processes()
+	errs := make([]error, len(processes))
+	var group sync.WaitGroup
+	for i, p := range processes {
+		group.Go(func() {
+			if err := p.Stop(ctx); !errors.Is(err, process.ErrEnded) {
+				errs[i] = err
+			}
+		})
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
+// Kill ends all processes at once.
+func (r *Rig) Kill() {
+	for _, p := range r.processes() {
+		p.Kill()
+	}
+	r.closeLogs()
+}
+
+func (r *Rig) closeLogs() {
+	for _, log := range r.logs {
+		_ = log.Close()
+	}
+	r.logs = nil
+}
+
+func (r *Rig) processes() []*process.Process {
+	var processes []*process.Process
+	if r.Platform != nil {
+		processes = append(processes, r.Platform)
+	}
+	for _, b := range r.Backends {
+		processes = append(processes, b.Process)
+	}
+	return processes
+}
+
+// Journals returns the journals of all backend servers, also of killed ones.
+func (r *Rig) Journals() ([]backend.Journal, error) {
+	journals := make([]backend.Journal, 0, len(r.Backends))
+	for _, b := range r.Backends {
+		journal, err := backend.ReadJournal(b.journal)
+		if err != nil {
+			return nil, err
+		}
+		journals = append(journals, journal)
+	}
+	return journals, nil
+}
--- /dev/null
+++ b/cmd/marjoramsaddle-bench/load.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"marjoramsaddle/bench/load"
+)
+
+const (
+	defaultRate        = 500
+	defaultDuration    = 10 * time.Second
+	defaultServiceTime = 5 * time.Millisecond
+	defaultFirstPort   = 20_000
+)
+
+func loadCommand() *cobra.Command {
+	var experiment load.Experiment
+	var fault string
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send a workload and verify each answer",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var err error
+			if experiment.Fault, err = load.ParseFault(fault); err != nil {
+				return err
+			}
+			return runLoad(cmd, experiment)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&experiment.Workload, "workload", load.Counter, "counter or storefront")
+	flags.Float64Var(&experiment.Plan.Rate, "rate", defaultRate, "calls per second")
+	flags.DurationVar(&experiment.Plan.Duration, "duration", defaultDuration, "length of the run")
+	flags.Uint64Var(&experiment.Plan.Seed, "seed", 1, "seed of the calls and their arrivals")
+	flags.StringVar(&experiment.Policy, "policy", "", "direct calls backend servers without daemons; empty is the daemons' default")
+	flags.StringVar(&fault, "fault", "", "one of "+load.FaultNames())
+	flags.DurationVar(&experiment.ServiceTime, "service-time", defaultServiceTime, "time that a call takes at a backend server")
+	flags.IntVar(&experiment.FirstPort, "first-port", defaultFirstPort, "first of the ports on loopback")
+	addOutput(cmd)
+	return cmd
+}
+
+func runLoad(cmd *cobra.Command, experiment load.Experiment) error {
+	if err := checkOutput(cmd); err != nil {
+		return err
+	}
+	report, err := experiment.Run(cmd.Context())
+	if err != nil {
+		return err
+	}
+	for detail, count := range report.UnknownDetails {
+		cmd.PrintErrf("load: %d unknown outcomes: %s\n", count, detail)
+	}
+	return printJSON(cmd, report)
+}
--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -54,6 +54,7 @@
 	flags.DurationVar(&options.ColdStart, "cold-start", 0, "span after the start in which calls are refused or slow")
 	flags.IntVar(&options.ColdFactor, "cold-factor", 0, "service time factor in the cold start; 0 refuses calls")
 	flags.DurationVar(&options.Lag, "lag", 0, "age of what /healthz and /loadz report")
+	flags.StringVar(&options.JournalFile, "journal", "", "file that receives the journal as it grows")
 	flags.DurationVar(&stopping.notice, "drain-notice", defaultNotice, "time to go on accepting calls after SIGTERM")
 	flags.DurationVar(&stopping.grace, "drain-grace", time.Minute, "time for work in progress to finish after the notice")
 	return cmd
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -59,6 +59,8 @@
 	ColdFactor int
 	// Lag is the age of what /healthz and /loadz report.
 	Lag time.Duration
+	// JournalFile receives the journal as it grows; empty keeps it in memory only.
+	JournalFile string
 }
 
 // Server is a running stand-in of a backend server.
@@ -101,6 +103,9 @@
 		started:   time.Now(),
 		closed:    make(chan struct{}),
 	}
+	if err := s.journal.open(options.JournalFile); err != nil {
+		return nil, errors.Join(err, listener.Close(), control.Close())
+	}
 	if s.options.Name == "" {
 		s.options.Name = s.address
 	}
@@ -170,7 +175,12 @@
 }
 
 // Drain announces that the server is leaving. It still answers requests.
-func (s *Server) Drain() { s.drainAt.CompareAndSwap(0, time.Now().UnixNano()) }
+func (s *Server) Drain() {
+	now := time.Now().UnixNano()
+	if s.drainAt.CompareAndSwap(0, now) {
+		s.journal.drain(now)
+	}
+}
 
 func (s *Server) draining(at time.Time) bool {
 	drainAt := s.drainAt.Load()
@@ -205,7 +215,7 @@
 	var err error
 	s.closeOnce.Do(func() {
 		close(s.closed)
-		err = errors.Join(s.public.Close(), s.control.Close())
+		err = errors.Join(s.public.Close(), s.control.Close(), s.journal.close())
 	})
 	return err
 }
--- a/standin/backend/backend_test.go
+++ b/standin/backend/backend_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -246,3 +248,33 @@
 	f.True(second.call(background, "/stock/x", "over", "").err != nil)
 	f.Equal(second.result("over"), backend.Result(""))
 }
+
+// Guards against a journal file that differs from the journal in memory, or that
+// can't be read after a kill in the middle of a line.
+func TestJournalFileHoldsTheJournal(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	f := start(t, backend.Options{JournalFile: path, ServiceTime: 200 * time.Millisecond})
+	background := context.Background()
+	done := make(chan reply, 1)
+	go func() { done <- f.call(background, "/orders", "a", "x", backend.HeaderIdempotencyKey, "k") }()
+	f.eventually(func() bool { return f.row("a").Ran })
+	early, err := backend.ReadJournal(path)
+	f.NoErr(err)
+	f.Equal(len(early.Rows), 1)
+	f.True(early.Rows[0].Ran)
+	f.Equal(early.Rows[0].Result, backend.ResultRunning)
+	f.NoErr((<-done).err)
+	f.Equal(f.call(background, "/files/100", "b", "").status, http.StatusOK)
+	f.NoErr(f.server.Stop(background))
+	whole, err := backend.ReadJournal(path)
+	f.NoErr(err)
+	f.Equal(whole, f.server.Journal())
+	data, err := os.ReadFile(path)
+	f.NoErr(err)
+	f.NoErr(os.WriteFile(path, data[:len(data)-5], 0o600))
+	_, err = backend.ReadJournal(path)
+	f.NoErr(err)
+	f.NoErr(os.WriteFile(path, append([]byte("{}\n"), data...), 0o600))
+	_, err = backend.ReadJournal(path)
+	f.True(err != nil)
+}
--- a/standin/backend/journal.go
+++ b/standin/backend/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -52,8 +53,10 @@
 }
 
 type journal struct {
-	mu   sync.Mutex
-	rows []Row
+	mu      sync.Mutex
+	rows    []Row
+	file    *os.File // nil without a journal file
+	fileErr error
 }
 
 // begin adds a row and returns its position.
@@ -70,7 +73,9 @@
 		Result:         ResultRunning,
 		Draining:       draining,
 	})
-	return len(j.rows) - 1
+	position := len(j.rows) - 1
+	j.append(entry{Position: position, Row: &j.rows[position]})
+	return position
 }
 
 // ran marks a row's request as having taken effect.
@@ -78,6 +83,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.rows[position].Ran = true
+	j.append(entry{Position: position, Row: &j.rows[position]})
 }
 
 func (j *journal) end(position int, result Result, bytes int64) {
@@ -87,6 +93,13 @@
 	row.EndUnixNs = time.Now().UnixNano()
 	row.Result = result
 	row.Bytes = bytes
+	j.append(entry{Position: position, Row: row})
+}
+
+func (j *journal) drain(unixNs int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.append(entry{DrainUnixNs: unixNs})
 }
 
 // from returns a copy of the rows from a position on.
