Add restore, jitter, connect and probe times to the stand-ins

Cause: the promises name restored backups, reordered answers and the costs of connections and probes, which the stand-ins could not play. Ruled out: SetFaults opening the listener of a closed platform again; it now returns an error. Before: Put could return the index of a later write; no restore, jitter, connect or probe time.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -13,6 +13,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"marjoramsaddle/core/id"
 )
@@ -31,6 +32,8 @@
 	Name        id.Service
 	Slots       int
 	Connections int
+	ConnectTime time.Duration
+	ProbeTime   time.Duration // 0 where the operator states none
 	// Weight is the service's share of the hosts.
 	Weight int
 }
@@ -46,13 +49,13 @@
 	switch operator {
 	case Clouterie:
 		return region{"mu-plateau", []id.Domain{"reduit", "ebene", "rose-hill"}, []Service{
-			{"counter", 20, 130, 10},
-			{"depot", 20, 130, 3},
+			{"counter", 20, 130, time.Millisecond, 6 * time.Millisecond, 10},
+			{"depot", 20, 130, time.Millisecond, 6 * time.Millisecond, 3},
 		}}, nil
 	case Kumtasi:
 		return region{"ic-anadolu", []id.Domain{"kapadokya", "konya", "aksaray"}, []Service{
-			{"storefront", 13, 130, 10},
-			{"warehouse", 13, 130, 3},
+			{"storefront", 13, 130, time.Millisecond, 0, 10},
+			{"warehouse", 13, 130, time.Millisecond, 0, 3},
 		}}, nil
 	default:
 		return region{}, fmt.Errorf("unknown operator %q; use %s or %s", operator, Clouterie, Kumtasi)
--- a/bench/rig/rig.go
+++ b/bench/rig/rig.go
@@ -65,6 +65,7 @@
 	Backends []*Backend
 	options  Options
 	logs     []*os.File
+	spawned  []*process.Process
 }
 
 // Start starts all stand-ins and waits until they are ready. It leaves none
@@ -91,7 +92,7 @@
 }
 
 func (r *Rig) startPlatform() error {
-	started, err := r.spawn(platformProgram, platformProgram,
+	started, err := r.Spawn(platformProgram, platformProgram,
 		"--listen", r.options.Platform.String(),
 		"--control", r.options.PlatformControl.String())
 	r.Platform = started
@@ -100,12 +101,14 @@
 
 func (r *Rig) startBackend(host fleet.Host) error {
 	journal := filepath.Join(r.options.Folder, string(host.Name)+".journal")
-	started, err := r.spawn(backendProgram, string(host.Name),
+	started, err := r.Spawn(backendProgram, string(host.Name),
 		"--name", string(host.Name),
 		"--listen", host.Backend.String(),
 		"--control", host.BackendControl.String(),
 		"--slots", strconv.Itoa(host.Service.Slots),
 		"--connections", strconv.Itoa(host.Service.Connections),
+		"--connect-time", host.Service.ConnectTime.String(),
+		"--probe-time", host.Service.ProbeTime.String(),
 		"--service-time", r.options.ServiceTime.String(),
 		"--drain-notice", r.options.DrainNotice.String(),
 		"--journal", journal)
@@ -116,8 +119,9 @@
 	return nil
 }
 
-// spawn starts a program of this repository with a log file of its own.
-func (r *Rig) spawn(program, name string, args ...string) (*process.Process, error) {
+// Spawn starts a program of this repository with a log file of its own. The rig
+// stops it with the others.
+func (r *Rig) Spawn(program, name string, args ...string) (*process.Process, error) {
 	path, err := process.Sibling(program)
 	if err != nil {
 		return nil, err
@@ -127,7 +131,12 @@
 		return nil, fmt.Errorf("create log of %s: %w", name, err)
 	}
 	r.logs = append(r.logs, log)
-	return process.Start(process.Spec{Path: path, Args: args, Output: log})
+	started, err := process.Start(process.Spec{Path: path, Args: args, Output: log})
+	if err != nil {
+		return nil, err
+	}
+	r.spawned = append(r.spawned, started)
+	return started, nil
 }
 
 func (r *Rig) waitReady(ctx context.Context) error {
@@ -197,10 +206,9 @@
 // before are no error.
 func (r *Rig) Stop(ctx context.Context) error {
 	defer r.closeLogs()
-	processes := r.processes()
-	errs := make([]error, len(processes))
+	errs := make([]error, len(r.spawned))
 	var group sync.WaitGroup
-	for i, p := range processes {
+	for i, p := range r.spawned {
 		group.Go(func() {
 			if err := p.Stop(ctx); !errors.Is(err, process.ErrEnded) {
 				errs[i] = err
@@ -213,7 +221,7 @@
 
 // Kill ends all processes at once.
 func (r *Rig) Kill() {
-	for _, p := range r.processes() {
+	for _, p := range r.spawned {
 		p.Kill()
 	}
 	r.closeLogs()
@@ -226,17 +234,6 @@
 	r.logs = nil
 }
 
-func (r *Rig) processes() []*process.Process {
-	var processes []*process.Process
-	if r.Platform != nil {
-		processes = append(processes, r.Platform)
-	}
-	for _, b := range r.Backends {
-		processes = append(processes, b.Process)
-	}
-	return processes
-}
-
 // Journals returns the journals of all backend servers, also of killed ones.
 func (r *Rig) Journals() ([]backend.Journal, error) {
 	journals := make([]backend.Journal, 0, len(r.Backends))
--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -51,6 +51,8 @@
 	flags.IntVar(&options.Slots, "slots", backend.DefaultSlots, "calls that run at once")
 	flags.IntVar(&options.Connections, "connections", backend.DefaultConnections, "open connections")
 	flags.DurationVar(&options.ServiceTime, "service-time", time.Millisecond, "time that a call takes")
+	flags.DurationVar(&options.ConnectTime, "connect-time", 0, "time that a new connection takes")
+	flags.DurationVar(&options.ProbeTime, "probe-time", 0, "time that /healthz and /loadz take")
 	flags.DurationVar(&options.ColdStart, "cold-start", 0, "span after the start in which calls are refused or slow")
 	flags.IntVar(&options.ColdFactor, "cold-factor", 0, "service time factor in the cold start; 0 refuses calls")
 	flags.DurationVar(&options.Lag, "lag", 0, "age of what /healthz and /loadz report")
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -53,6 +53,8 @@
 	Slots          int    // 0 for DefaultSlots
 	Connections    int    // 0 for DefaultConnections
 	ServiceTime    time.Duration
+	ConnectTime    time.Duration // before the first byte of a connection is read
+	ProbeTime      time.Duration // of /healthz and /loadz
 	ColdStart      time.Duration
 	// ColdFactor multiplies the service time during the cold start; 0 refuses
 	// requests instead.
@@ -98,7 +100,7 @@
 		options:   options,
 		address:   listener.Addr().String(),
 		controlAt: control.Addr().String(),
-		conns:     &limitListener{Listener: listener, limit: int64(options.Connections)},
+		conns:     &limitListener{Listener: listener, limit: int64(options.Connections), connect: options.ConnectTime},
 		slots:     &slots{limit: options.Slots},
 		started:   time.Now(),
 		closed:    make(chan struct{}),
@@ -223,8 +225,9 @@
 // limitListener closes connections over the limit at once.
 type limitListener struct {
 	net.Listener
-	limit int64
-	open  atomic.Int64
+	limit   int64
+	connect time.Duration
+	open    atomic.Int64
 }
 
 // Accept returns the next connection within the limit.
@@ -235,7 +238,7 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
-			return &countedConn{Conn: conn, open: &l.open}, nil
+			return &countedConn{Conn: conn, listener: l}, nil
 		}
 		l.open.Add(-1)
 		_ = conn.Close()
@@ -245,12 +248,19 @@
 // countedConn leaves the count of open connections when it closes.
 type countedConn struct {
 	net.Conn
-	open *atomic.Int64
-	once sync.Once
+	listener *limitListener
+	connect  sync.Once
+	once     sync.Once
+}
+
+// Read reads after the time that a new connection takes.
+func (c *countedConn) Read(p []byte) (int, error) {
+	c.connect.Do(func() { time.Sleep(c.listener.connect) })
+	return c.Conn.Read(p)
 }
 
 // Close closes the connection and counts it as closed.
 func (c *countedConn) Close() error {
-	c.once.Do(func() { c.open.Add(-1) })
+	c.once.Do(func() { c.listener.open.Add(-1) })
 	return c.Conn.Close()
 }
--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -29,8 +29,8 @@
 // Handler returns the routes that callers reach.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", s.health)
-	mux.HandleFunc("GET /loadz", s.load)
+	mux.HandleFunc("GET /healthz", s.probe(s.health))
+	mux.HandleFunc("GET /loadz", s.probe(s.load))
 	mux.HandleFunc("GET /stock/", s.call)
 	mux.HandleFunc("GET /internal/", s.call)
 	mux.HandleFunc("POST /orders", s.call)
@@ -56,6 +56,14 @@
 	return mux
 }
 
+// probe delays an endpoint by the probe time.
+func (s *Server) probe(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(s.options.ProbeTime)
+		next(w, r)
+	}
+}
+
 func (s *Server) lag() time.Duration {
 	if lag := s.currentFaults().LagMs; lag != nil {
 		return time.Duration(*lag) * time.Millisecond
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -21,6 +22,9 @@
 	Outage string `json:"outage"`
 	// LatencyMs delays each answer.
 	LatencyMs int `json:"latency_ms"`
+	// JitterMs adds up to this much to the latency at random, so that answers
+	// overtake each other.
+	JitterMs int `json:"jitter_ms"`
 	// StalenessMs answers reads from the state this long ago.
 	StalenessMs int `json:"staleness_ms"`
 	// Frozen answers reads from the state at the time the fault was set.
@@ -41,12 +45,17 @@
 	default:
 		return fmt.Errorf("unknown outage %q; use %q, %q or leave it empty", f.Outage, OutageRefuse, OutageError)
 	}
-	if f.LatencyMs < 0 || f.StalenessMs < 0 {
-		return fmt.Errorf("latency_ms and staleness_ms must not be negative")
+	if f.LatencyMs < 0 || f.JitterMs < 0 || f.StalenessMs < 0 {
+		return fmt.Errorf("latency_ms, jitter_ms and staleness_ms must not be negative")
 	}
 	return nil
 }
 
+// latency returns the delay of one call.
+func (f Faults) latency() time.Duration {
+	return time.Duration(f.LatencyMs+rand.IntN(f.JitterMs+1)) * time.Millisecond
+}
+
 // readTime returns the time whose state a read at the given time sees.
 func (f Faults) readTime(at time.Time, consistent bool) time.Time {
 	if consistent && !f.StaleConsistent {
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -31,6 +31,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /faults", s.postFaults)
 	mux.HandleFunc("GET /faults", s.getFaults)
+	mux.HandleFunc("POST /restore", s.postRestore)
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counters()) })
 	return mux
 }
@@ -44,7 +45,7 @@
 			http.Error(w, "rate limit exceeded; call less often", http.StatusTooManyRequests)
 			return
 		}
-		if !s.pause(r, time.Duration(faults.LatencyMs)*time.Millisecond) {
+		if !s.pause(r, faults.latency()) {
 			return
 		}
 		if faults.Outage != "" {
@@ -104,7 +105,7 @@
 		http.Error(w, "flags must be a number", http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, s.store.put(r.PathValue("key"), value, flags, query.Has("cas"), want))
+	writeJSON(w, s.store.put(r.PathValue("key"), value, flags, query.Has("cas"), want) != 0)
 }
 
 // number parses an unsigned number; the empty text is 0.
@@ -133,6 +134,19 @@
 	writeJSON(w, faults)
 }
 
+// postRestore restores the state at ?index=N.
+func (s *Server) postRestore(w http.ResponseWriter, r *http.Request) {
+	index, err := number(r.URL.Query().Get("index"))
+	if err == nil {
+		err = s.Restore(index)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A failed write means that the client has gone; there is no one to tell.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -124,13 +124,15 @@
 // Counters returns the calls counted so far.
 func (s *Server) Counters() Counters { return s.counting.snapshot() }
 
-// Put stores a value as an operator would, without counting a call.
+// Put stores a value as an operator would, without counting a call, and returns
+// its modify index.
 func (s *Server) Put(key string, value []byte) uint64 {
-	s.store.put(key, value, 0, false, 0)
-	entry, _, _ := s.store.get(key, time.Now().Add(s.store.lag()))
-	return entry.ModifyIndex
+	return s.store.put(key, value, 0, false, 0)
 }
 
+// Restore returns to the state at an index, as a restored backup does.
+func (s *Server) Restore(index uint64) error { return s.store.restore(index) }
+
 // SetFaults replaces all faults.
 func (s *Server) SetFaults(faults Faults) error {
 	if err := faults.check(); err != nil {
@@ -151,6 +153,11 @@
 // applyOutage opens or closes the KV listener as the faults ask. The caller
 // holds the lock.
 func (s *Server) applyOutage() error {
+	select {
+	case <-s.closed:
+		return errors.New("platform is closed; start another one")
+	default:
+	}
 	refuse := s.faults.Outage == OutageRefuse
 	if refuse && s.public != nil {
 		err := s.public.Close()
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -270,3 +270,25 @@
 	f.Equal(counters.TotalCalls, 1)
 	f.Equal(counters.CallsPerSMax, 1)
 }
+
+// Guards against a restored backup that keeps later indexes, or watches that
+// sleep through the return to an older one.
+func TestRestoreReusesIndexes(t *testing.T) {
+	f := start(t, platform.Options{})
+	first := f.server.Put("k", []byte("1"))
+	second := f.server.Put("k", []byte("2"))
+	woken := make(chan reply, 1)
+	go func() {
+		got, _ := f.try("GET", fmt.Sprintf("k?raw&index=%d&wait=30s", second), nil)
+		woken <- got
+	}()
+	f.eventually(func() bool { return f.server.Counters().WaitingWatches == 1 })
+	url := fmt.Sprintf("http://%s/restore?index=%d", f.server.ControlAddress(), first)
+	response, err := f.client.Post(url, "", nil)
+	f.NoErr(err)
+	f.NoErr(response.Body.Close())
+	f.Equal(response.StatusCode, http.StatusNoContent)
+	f.Equal(<-woken, reply{200, fmt.Sprint(first), "1"})
+	f.Equal(f.server.Put("k", []byte("other")), second)
+	f.True(f.server.Restore(second+1) != nil)
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -67,9 +69,10 @@
 	return s.changed
 }
 
-// put stores a value. With cas set, it does so only if the key's modify index
-// equals want, where 0 stands for a key that doesn't exist.
-func (s *store) put(key string, value []byte, flags uint64, cas bool, want uint64) bool {
+// put stores a value and returns its modify index. With cas set, it does so only
+// if the key's modify index equals want, where 0 stands for a key that doesn't
+// exist; it returns 0 if it does not.
+func (s *store) put(key string, value []byte, flags uint64, cas bool, want uint64) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	revisions := s.keys[key]
@@ -78,7 +81,7 @@
 		last = revisions[len(revisions)-1].entry
 	}
 	if cas && last.ModifyIndex != want {
-		return false
+		return 0
 	}
 	s.index++
 	entry := Entry{Key: key, Flags: flags, Value: value, CreateIndex: last.CreateIndex, ModifyIndex: s.index}
@@ -86,9 +89,31 @@
 		entry.CreateIndex = s.index
 	}
 	s.keys[key] = append(revisions, revision{entry: entry, visible: s.visibleFrom(key)})
+	s.notify()
+	return s.index
+}
+
+// notify wakes the watches. The caller holds the lock.
+func (s *store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return true
+}
+
+// restore returns to the state at an index, as a platform that is restored from
+// a backup does. Later writes use the indexes after it again.
+func (s *store) restore(index uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index < 1 || index > s.index {
+		return fmt.Errorf("index %d is out of range; use 1 to %d", index, s.index)
+	}
+	for key, revisions := range s.keys {
+		kept := slices.DeleteFunc(revisions, func(r revision) bool { return r.entry.ModifyIndex > index })
+		s.keys[key] = kept
+	}
+	s.index = index
+	s.notify()
+	return nil
 }
 
 func (s *store) visibleFrom(key string) time.Time {
@@ -105,9 +130,3 @@
 	defer s.mu.Unlock()
 	s.hostLag = lag
 }
-
-func (s *store) lag() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.hostLag
-}
