--- a/bench/load/record.go
+++ b/bench/load/record.go
@@ -27,6 +27,8 @@
 	Reason  string // of a refusal
 	Detail  string // of a verdict other than OK
 	Latency time.Duration
+	// Resent counts addresses to which nothing of the call was sent.
+	Resent int
 }
 
 func sortByArrival(calls []Call) {
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -38,6 +38,7 @@
 	NewWorkAfterLeaveMsMax float64        `json:"new_work_after_leave_ms_max"`
 	Refusals               map[string]int `json:"refusals"`
 	UnknownDetails         map[string]int `json:"-"`
+	Resent                 int            `json:"-"`
 	WithoutAddedLatency    int            `json:"-"` // answered calls without exactly one finished row
 }
 
@@ -67,6 +68,7 @@
 }
 
 func (r *Report) count(record Record) {
+	r.Resent += record.Resent
 	switch record.Verdict {
 	case OK:
 		r.OK++
--- a/cmd/marjoramsaddle-bench/load.go
+++ b/cmd/marjoramsaddle-bench/load.go
@@ -54,5 +54,8 @@
 	for detail, count := range report.UnknownDetails {
 		cmd.PrintErrf("load: %d unknown outcomes: %s\n", count, detail)
 	}
+	if report.Resent > 0 {
+		cmd.PrintErrf("load: %d calls went to another address, as nothing of them had been sent\n", report.Resent)
+	}
 	return printJSON(cmd, report)
 }
