Refuse bodies over the limit in the backend stand-in

Cause: a body over 64 MiB was cut at the limit and the request ran with the part. Before: io.LimitReader ended the body without an error. After: http.MaxBytesReader gives an error and the row is incomplete, not run.

--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -174,9 +174,9 @@
 	if s.cold(time.Now()) && s.options.ColdFactor == 0 {
 		return nil, &refusal{ResultCold, http.StatusServiceUnavailable, "starting; retry later"}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxRequestBytes))
 	if err != nil {
-		return nil, &refusal{ResultIncomplete, http.StatusBadRequest, "body incomplete; send it again"}
+		return nil, &refusal{ResultIncomplete, http.StatusBadRequest, "body incomplete or too large; send it again in full"}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil, &refusal{ResultExpired, http.StatusGatewayTimeout, "deadline has passed"}
