Make the merge rule of endpoint entries a total order

Cause: two entries with equal incarnation, sequence and state but other fields differing each stayed where they arrived first, and the digest did not cover those fields. The digest also covered dead hosts, which each host removes at its own time. Ruled out: leaving the tie to the owner's next sequence; a misconfigured second process under one name would keep tables apart with equal digests. Before: on a scratch copy of the previous table, TestMergeRule and TestDigestEquality failed. After: both pass; All and Select no longer sort, because the table keeps its order.

--- a/core/endpoint/endpoint.go
+++ b/core/endpoint/endpoint.go
@@ -11,6 +11,8 @@
 package endpoint
 
 import (
+	"slices"
+
 	"marjoramsaddle/core/id"
 )
 
@@ -46,14 +48,31 @@
 	Started id.Instant `json:"started,omitempty"`
 }
 
+// Live reports whether the host takes part in the overlay.
+func (e *Entry) Live() bool { return e.State == Alive || e.State == Leaving }
+
 // Newer reports whether e replaces other: by incarnation, then sequence, then
-// state.
+// state. The other fields decide last; without them, two entries that differ
+// only there would each stay where they arrived first.
 func (e Entry) Newer(other Entry) bool {
-	if e.Incarnation != other.Incarnation {
-		return e.Incarnation > other.Incarnation
+	mine, theirs := e.numbers(), other.numbers()
+	if order := slices.Compare(mine[:], theirs[:]); order != 0 {
+		return order > 0
 	}
-	if e.Sequence != other.Sequence {
-		return e.Sequence > other.Sequence
+	mineTexts, theirTexts := e.texts(), other.texts()
+	return slices.Compare(mineTexts[:], theirTexts[:]) > 0
+}
+
+// numbers returns the numeric fields in the order in which Newer compares
+// them.
+func (e *Entry) numbers() [5]uint64 {
+	return [...]uint64{
+		uint64(e.Incarnation), e.Sequence, uint64(e.State), uint64(e.Slots), uint64(e.Started),
+	}
+}
+
+func (e *Entry) texts() [6]string {
+	return [...]string{
+		string(e.Host), string(e.Domain), string(e.Region), string(e.Service), e.Control, e.Hop,
 	}
-	return e.State > other.State
 }
--- a/core/endpoint/table.go
+++ b/core/endpoint/table.go
@@ -13,46 +13,81 @@
 const Buckets = 64
 
 // Table holds the newest known entry of each host. Its digest costs nothing to
-// read: it is kept up to date with each change.
+// read: it is kept up to date with each change. The digest leaves dead hosts
+// out, because each host removes them at its own time.
 type Table struct {
-	entries map[id.Host]Entry
-	buckets [Buckets]uint64
+	rows     map[id.Host]*row
+	order    []*row // by host
+	buckets  [Buckets]uint64
+	revision uint64
+}
+
+type row struct {
+	Entry
+	hash   uint64
+	bucket int
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[id.Host]Entry{}} }
+func NewTable() *Table { return &Table{rows: map[id.Host]*row{}} }
 
 // Len returns the number of hosts.
-func (t *Table) Len() int { return len(t.entries) }
+func (t *Table) Len() int { return len(t.rows) }
+
+// Revision counts the changes of the table.
+func (t *Table) Revision() uint64 { return t.revision }
 
 // Get returns the entry of a host.
 func (t *Table) Get(host id.Host) (Entry, bool) {
-	entry, ok := t.entries[host]
-	return entry, ok
+	known, ok := t.rows[host]
+	if !ok {
+		return Entry{}, false
+	}
+	return known.Entry, true
 }
 
 // Merge adopts the entry when it is newer than the known one, and reports
 // whether it did.
 func (t *Table) Merge(entry Entry) bool {
-	old, known := t.entries[entry.Host]
-	if known && !entry.Newer(old) {
+	known, exists := t.rows[entry.Host]
+	if exists && !entry.Newer(known.Entry) {
 		return false
 	}
-	bucket := Bucket(entry.Host)
-	if known {
-		t.buckets[bucket] ^= old.hash()
+	if !exists {
+		known = &row{bucket: Bucket(entry.Host)}
+		t.insert(entry.Host, known)
 	}
-	t.buckets[bucket] ^= entry.hash()
-	t.entries[entry.Host] = entry
+	t.buckets[known.bucket] ^= known.hash
+	known.Entry = entry
+	known.hash = entry.hash()
+	t.buckets[known.bucket] ^= known.hash
+	t.revision++
 	return true
 }
 
 // Remove drops a host.
 func (t *Table) Remove(host id.Host) {
-	if old, known := t.entries[host]; known {
-		t.buckets[Bucket(host)] ^= old.hash()
-		delete(t.entries, host)
+	known, exists := t.rows[host]
+	if !exists {
+		return
 	}
+	t.buckets[known.bucket] ^= known.hash
+	delete(t.rows, host)
+	index, _ := t.find(host)
+	t.order = slices.Delete(t.order, index, index+1)
+	t.revision++
+}
+
+func (t *Table) insert(host id.Host, added *row) {
+	index, _ := t.find(host)
+	t.rows[host] = added
+	t.order = slices.Insert(t.order, index, added)
+}
+
+func (t *Table) find(host id.Host) (int, bool) {
+	return slices.BinarySearchFunc(t.order, host, func(known *row, host id.Host) int {
+		return strings.Compare(string(known.Host), string(host))
+	})
 }
 
 // Digest returns a hash of the whole table.
@@ -74,34 +109,63 @@
 
 // All returns the entries ordered by host.
 func (t *Table) All() []Entry {
-	return t.Select(func(Entry) bool { return true })
+	out := make([]Entry, len(t.order))
+	for index, known := range t.order {
+		out[index] = known.Entry
+	}
+	return out
 }
 
 // Select returns the entries that keep accepts, ordered by host.
 func (t *Table) Select(keep func(Entry) bool) []Entry {
-	out := make([]Entry, 0, len(t.entries))
-	for _, entry := range t.entries {
-		if keep(entry) {
-			out = append(out, entry)
+	var out []Entry
+	t.Each(func(entry *Entry) {
+		if keep(*entry) {
+			out = append(out, *entry)
+		}
+	})
+	return out
+}
+
+// Each visits the entries ordered by host, without copying them. visit must
+// neither change the table nor keep the pointer.
+func (t *Table) Each(visit func(*Entry)) {
+	for _, known := range t.order {
+		visit(&known.Entry)
+	}
+}
+
+// InBuckets returns the entries of the given buckets ordered by host.
+func (t *Table) InBuckets(wanted [Buckets]bool) []Entry {
+	var out []Entry
+	for _, known := range t.order {
+		if wanted[known.bucket] {
+			out = append(out, known.Entry)
 		}
 	}
-	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	return out
 }
 
+// hash covers every field, so that equal digests mean equal entries.
 func (e Entry) hash() uint64 {
+	if e.State == Dead {
+		return 0
+	}
 	sum := xxhash.New()
-	_, _ = sum.WriteString(string(e.Host))
-	var tail [17]byte
-	putUint64(tail[0:], uint64(e.Incarnation))
-	putUint64(tail[8:], e.Sequence)
-	tail[16] = byte(e.State)
-	_, _ = sum.Write(tail[:])
+	for _, text := range e.texts() {
+		writeUint64(sum, uint64(len(text)))
+		_, _ = sum.WriteString(text)
+	}
+	for _, number := range e.numbers() {
+		writeUint64(sum, number)
+	}
 	return sum.Sum64()
 }
 
-func putUint64(into []byte, value uint64) {
-	for index := range 8 {
-		into[index] = byte(value >> (8 * index))
+func writeUint64(sum *xxhash.Digest, value uint64) {
+	var raw [8]byte
+	for index := range raw {
+		raw[index] = byte(value >> (8 * index))
 	}
+	_, _ = sum.Write(raw[:])
 }
