Derive readers and overlay links from the endpoint table

Cause: the overlay and the readers need one rule that all hosts with equal tables agree on. Ruled out: marking every host of a lost failure domain dead in the table; after a partition each of them would have to refute it. The loss of a failure domain is derived from its first eight hosts in rendezvous order instead. Sorting all hosts of all failure domains was ruled out by cost.

--- a/core/kernel/action.go
+++ b/core/kernel/action.go
@@ -22,8 +22,12 @@
 		Address string
 	}
 
-	// Hangup closes the link to a peer.
-	Hangup struct{ Host id.Host }
+	// Hangup closes the link to a peer. Outbound tells which link when both
+	// hosts have dialled each other.
+	Hangup struct {
+		Host     id.Host
+		Outbound bool
+	}
 
 	// ReadManifest reads the manifest. With After above zero the read waits on
 	// the platform until the index has passed After. ManifestRead or
--- a/core/kernel/event.go
+++ b/core/kernel/event.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/message"
 )
@@ -21,7 +22,12 @@
 	}
 
 	// LinkDown tells that a control link has ended or could not be opened.
-	LinkDown struct{ Host id.Host }
+	// While two hosts have dialled each other, Outbound tells which of the two
+	// links ended; Shared.Links still holds the host when the other one stays.
+	LinkDown struct {
+		Host     id.Host
+		Outbound bool
+	}
 
 	// Received carries a message from a peer.
 	Received struct {
@@ -51,6 +57,9 @@
 		Data   []byte
 	}
 
+	// HostsListed carries the decoded rows of a HostListRead.
+	HostsListed struct{ Rows []endpoint.Entry }
+
 	// ReadFailed tells that a read of the platform failed.
 	ReadFailed struct {
 		Read  Read
@@ -104,6 +113,9 @@
 // EventName returns the name of the event in traces.
 func (HostListRead) EventName() string { return "host_list_read" }
 
+// EventName returns the name of the event in traces.
+func (HostsListed) EventName() string { return "hosts_listed" }
+
 // EventName returns the name of the event in traces.
 func (ReadFailed) EventName() string { return "read_failed" }
 
--- a/core/kernel/shared.go
+++ b/core/kernel/shared.go
@@ -6,6 +6,7 @@
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/snapshot"
+	"marjoramsaddle/core/topology"
 )
 
 //go:generate stringer -type=Readiness,Strategy -linecomment -output=kernel_string.go
@@ -83,6 +84,9 @@
 	Table *endpoint.Table
 	// Links is written by overlay.
 	Links map[id.Host]*Link
+	// Topology is what Table says about the links of this host, written by
+	// overlay.
+	Topology topology.View
 	// Held is the newest whole version in memory, written by spread.
 	Held *snapshot.Snapshot
 	// InForce is the version that traffic uses, written by spread.
