--- /dev/null
+++ b/core/census/register.go
@@ -0,0 +1,5 @@
+package census
+
+import "marjoramsaddle/core/kernel"
+
+func init() { kernel.Register("census", newPlugin) }
--- /dev/null
+++ b/core/member/register.go
@@ -0,0 +1,5 @@
+package member
+
+import "marjoramsaddle/core/kernel"
+
+func init() { kernel.Register("member", newPlugin) }
--- /dev/null
+++ b/core/overlay/link.go
@@ -0,0 +1,130 @@
+package overlay
+
+import (
+	"time"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+	"marjoramsaddle/core/message"
+	"marjoramsaddle/core/refusal"
+)
+
+// Peers that are refused because of too many links retry within this time.
+const (
+	refusedRetryMin = 500 * time.Millisecond
+	refusedRetryMax = 2 * time.Second
+)
+
+func (p *plugin) linkUp(at id.Instant, event kernel.LinkUp, out *kernel.Output) {
+	if event.Host == p.env.Self.Host {
+		// A seed list may name the host itself.
+		delete(p.dials, target{host: event.Host})
+		out.Do(kernel.Hangup{Host: event.Host, Outbound: event.Outbound})
+		return
+	}
+	if p.keepsOther(event, out) {
+		return
+	}
+	if !p.makeRoom(at, event, out) {
+		p.refuse(event, out)
+		return
+	}
+	p.adopt(at, event)
+	out.Do(kernel.Send{Host: event.Host, Frame: p.hello()})
+}
+
+// keepsOther resolves duplicate links: the one dialled by the lexically
+// smaller host stays, so both ends close the same one. It reports whether the
+// new link is the one to close.
+func (p *plugin) keepsOther(event kernel.LinkUp, out *kernel.Output) bool {
+	link, exists := p.shared.Links[event.Host]
+	if !exists || link.Outbound == event.Outbound {
+		return false
+	}
+	outboundStays := p.env.Self.Host < event.Host
+	out.Do(kernel.Hangup{Host: event.Host, Outbound: !outboundStays})
+	if event.Outbound != outboundStays {
+		return true
+	}
+	link.Outbound = outboundStays
+	return false
+}
+
+// makeRoom reports whether a new link fits. When all places are taken, a link
+// that the topology does not want and that has had time to synchronise makes
+// room. A further unwanted link is not accepted otherwise.
+func (p *plugin) makeRoom(at id.Instant, event kernel.LinkUp, out *kernel.Output) bool {
+	if _, exists := p.shared.Links[event.Host]; exists || len(p.shared.Links) < maxLinks {
+		return true
+	}
+	wanted := p.shared.Topology.Wants(event.Host)
+	for _, host := range p.linkHosts() {
+		settled := at.Sub(p.timers[host].opened) > silenceLimit
+		if !p.shared.Topology.Wants(host) && (wanted || settled) {
+			p.hangUp(host, out)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plugin) refuse(event kernel.LinkUp, out *kernel.Output) {
+	spread := p.random.Int64N(int64(refusedRetryMax - refusedRetryMin))
+	wait := refusedRetryMin + time.Duration(spread)
+	out.Do(kernel.Send{Host: event.Host, Frame: &message.Frame{Body: &message.Frame_Busy{
+		Busy: &message.Busy{RetryAfterMs: uint32(wait.Milliseconds())},
+	}}})
+	out.Do(kernel.Hangup{Host: event.Host, Outbound: event.Outbound})
+	out.Do(kernel.Count{Name: "link_refused", Label: refusal.TooManyLinks.String()})
+}
+
+func (p *plugin) adopt(at id.Instant, event kernel.LinkUp) {
+	link, exists := p.shared.Links[event.Host]
+	if !exists {
+		link = &kernel.Link{Host: event.Host, Domain: event.Domain}
+		p.shared.Links[event.Host] = link
+		p.timers[event.Host] = &timer{opened: at, heartbeat: at.Add(heartbeatInterval)}
+	}
+	link.Outbound = event.Outbound
+	link.HeardAt = at
+}
+
+func (p *plugin) linkDown(at id.Instant, event kernel.LinkDown) {
+	link, exists := p.shared.Links[event.Host]
+	if exists && link.Outbound == event.Outbound {
+		p.forget(event.Host)
+	}
+	if event.Outbound {
+		p.dialFailed(at, event.Host)
+	}
+}
+
+func (p *plugin) received(at id.Instant, event kernel.Received) {
+	if busy := event.Frame.GetBusy(); busy != nil {
+		p.dialRefused(at, event.Host, busy)
+	}
+	link, exists := p.shared.Links[event.Host]
+	if !exists {
+		return
+	}
+	link.HeardAt = at
+	switch body := event.Frame.GetBody().(type) {
+	case *message.Frame_Hello:
+		p.greet(link, body.Hello)
+	case *message.Frame_Heartbeat:
+		link.Held = id.Version(body.Heartbeat.GetHeld())
+		link.InForce = id.Version(body.Heartbeat.GetInForce())
+		link.TableDigest = body.Heartbeat.GetTableDigest()
+		link.HasMemory = body.Heartbeat.GetHasMemory()
+	}
+}
+
+func (p *plugin) greet(link *kernel.Link, hello *message.Hello) {
+	link.Domain = id.Domain(hello.GetFailureDomain())
+	link.Held = id.Version(hello.GetHeld())
+	link.InForce = id.Version(hello.GetInForce())
+	link.TableDigest = hello.GetTableDigest()
+	link.HasMemory = hello.GetHasMemory()
+	link.Greeted = true
+	p.dialSucceeded(link.Host)
+}
--- /dev/null
+++ b/core/overlay/register.go
@@ -0,0 +1,5 @@
+package overlay
+
+import "marjoramsaddle/core/kernel"
+
+func init() { kernel.Register("overlay", newPlugin) }
