--- a/core/kernel/shared.go
+++ b/core/kernel/shared.go
@@ -87,6 +87,10 @@
 	// Topology is what Table says about the links of this host, written by
 	// overlay.
 	Topology topology.View
+	// TableSettled is false at start, until the table equals that of a peer or
+	// no peer has answered in time, written by overlay. Before that, every
+	// host of a starting fleet takes itself for a reader.
+	TableSettled bool
 	// Held is the newest whole version in memory, written by spread.
 	Held *snapshot.Snapshot
 	// InForce is the version that traffic uses, written by spread.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -46,6 +46,7 @@
 	n.until(t, "suspect", 4500*time.Millisecond, func() bool { return n.everywhere(lost, endpoint.Suspect) })
 	n.until(t, "dead", 13*time.Second, func() bool { return n.everywhere(lost, endpoint.Dead) })
 	is.Equal(n.counts["member_refuted"], 0)
+	n.interval = id.Instant(500 * time.Millisecond)
 	n.until(t, "removed", 11*time.Minute, func() bool {
 		return n.equal() && len(n.table(n.order[0])) == len(n.order)-1
 	})
@@ -63,7 +64,9 @@
 	watcher := n.order[30]
 	n.until(t, "suspect", 12*time.Second, func() bool { return n.sees(watcher, endpoint.Suspect, "domain-0") || n.dead(watcher) })
 	n.until(t, "dead", 20*time.Second, func() bool { return n.dead(watcher) })
+	n.interval = id.Instant(500 * time.Millisecond)
 	n.run(12 * time.Minute)
+	n.interval = kernel.TickInterval
 	if !n.dead(watcher) {
 		t.Fatal("the lost domain is seen as reachable again")
 	}
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -214,16 +214,14 @@
 }
 
 func sendEntries(host id.Host, entries []endpoint.Entry, out *kernel.Output) {
-	out.Do(kernel.Send{Host: host, Frame: &message.Frame{Body: &message.Frame_Entries{
-		Entries: &message.Entries{Entries: encode(entries)},
-	}}})
+	out.Do(kernel.Send{Host: host, Frame: message.OfEntries(entries)})
 }
 
 // merge adopts the entries that are news. An unknown host that is dead is no
 // news: its entry has been removed here.
 func (p *plugin) merge(from id.Host, entries *message.Entries, out *kernel.Output) {
 	for _, row := range entries.GetEntries() {
-		entry, valid := decode(row)
+		entry, valid := row.Endpoint()
 		_, known := p.shared.Table.Get(entry.Host)
 		switch {
 		case !valid:
--- a/core/member/watch.go
+++ b/core/member/watch.go
@@ -20,6 +20,8 @@
 	// maxDoublings bounds the time to the next suspicion of a host that has
 	// refuted earlier ones: it lives but cannot be reached from here.
 	maxDoublings = 4
+	// watchInterval is the time between two looks at the neighbours.
+	watchInterval = 200 * time.Millisecond
 	// ageInterval is the time between two looks at all suspect and dead hosts.
 	ageInterval = 500 * time.Millisecond
 )
@@ -35,6 +37,8 @@
 	// since holds since when hosts are suspect or dead.
 	since  map[id.Host]marked
 	agedAt id.Instant
+	// lookedAt is when the neighbours were last looked at.
+	lookedAt id.Instant
 	// revision is the table revision that since was made from.
 	revision uint64
 }
@@ -78,6 +82,10 @@
 // A host without any link suspects nobody: its own network is the likelier
 // cause.
 func (p *plugin) watchNeighbours(at id.Instant, out *kernel.Output) {
+	if p.watch.lookedAt != 0 && at.Sub(p.watch.lookedAt) < watchInterval {
+		return
+	}
+	p.watch.lookedAt = at
 	watched := p.watched()
 	maps.DeleteFunc(p.watch.silent, func(host id.Host, _ id.Instant) bool { return !watched[host] })
 	maps.DeleteFunc(p.watch.met, func(host id.Host, _ bool) bool { return !watched[host] })
--- a/core/overlay/link.go
+++ b/core/overlay/link.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/message"
@@ -13,6 +14,10 @@
 const (
 	refusedRetryMin = 500 * time.Millisecond
 	refusedRetryMax = 2 * time.Second
+	// referrals is the number of other hosts that a refused peer is told. When
+	// a failure domain starts at once, the seeds alone would take in about 16
+	// hosts in 3 s.
+	referrals = 8
 )
 
 func (p *plugin) linkUp(at id.Instant, event kernel.LinkUp, out *kernel.Output) {
@@ -71,6 +76,9 @@
 func (p *plugin) refuse(event kernel.LinkUp, out *kernel.Output) {
 	spread := p.random.Int64N(int64(refusedRetryMax - refusedRetryMin))
 	wait := refusedRetryMin + time.Duration(spread)
+	if entries := p.referrals(event.Domain); len(entries) > 0 {
+		out.Do(kernel.Send{Host: event.Host, Frame: message.OfEntries(entries)})
+	}
 	out.Do(kernel.Send{Host: event.Host, Frame: &message.Frame{Body: &message.Frame_Busy{
 		Busy: &message.Busy{RetryAfterMs: uint32(wait.Milliseconds())},
 	}}})
@@ -78,6 +86,16 @@
 	out.Do(kernel.Count{Name: "link_refused", Label: refusal.TooManyLinks.String()})
 }
 
+// referrals returns live hosts of a failure domain, drawn by chance so that
+// refused peers spread over them.
+func (p *plugin) referrals(domain id.Domain) []endpoint.Entry {
+	found := p.shared.Table.Select(func(entry endpoint.Entry) bool {
+		return entry.Domain == domain && entry.Live() && entry.Host != p.env.Self.Host
+	})
+	p.random.Shuffle(len(found), func(a, b int) { found[a], found[b] = found[b], found[a] })
+	return found[:min(referrals, len(found))]
+}
+
 func (p *plugin) adopt(at id.Instant, event kernel.LinkUp) {
 	link, exists := p.shared.Links[event.Host]
 	if !exists {
--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -34,6 +34,9 @@
 	// exceeds a round of suspicion and refutation, so that a false suspicion
 	// does not rebuild links.
 	keepUnwanted = 5 * time.Second
+	// settleLimit is how long a starting host waits for a table equal to its
+	// own, as long as it waits for any peer to answer.
+	settleLimit = 3 * time.Second
 	// topologyInterval bounds the cost of the topology during heavy churn.
 	topologyInterval = 250 * time.Millisecond
 )
@@ -50,6 +53,7 @@
 	planned   uint64
 	plannedAt id.Instant
 	tickedAt  id.Instant
+	startedAt id.Instant
 }
 
 // timer holds the instants of one link.
@@ -89,6 +93,7 @@
 func (p *plugin) tick(at id.Instant, out *kernel.Output) {
 	p.resume(at, out)
 	p.plan(at)
+	p.settle(at)
 	p.dropSilent(at, out)
 	p.dropUnwanted(at, out)
 	p.sendHeartbeats(at, out)
@@ -123,6 +128,21 @@
 	p.shared.Topology = topology.Of(p.shared.Table, p.env.Self.Host)
 }
 
+// settle notes that the table can be relied on.
+func (p *plugin) settle(at id.Instant) {
+	if p.startedAt == 0 {
+		p.startedAt = at
+	}
+	if p.shared.TableSettled {
+		return
+	}
+	settled := at.Sub(p.startedAt) >= settleLimit
+	for _, link := range p.shared.Links {
+		settled = settled || (link.Greeted && link.TableDigest == p.shared.Table.Digest())
+	}
+	p.shared.TableSettled = settled
+}
+
 func (p *plugin) linkHosts() []id.Host { return slices.Sorted(maps.Keys(p.shared.Links)) }
 
 func (p *plugin) dropSilent(at id.Instant, out *kernel.Output) {
