--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -66,6 +66,7 @@
 const (
 	callerPort = iota
 	peerPort
+	hopPort
 	operatorPort
 	backendPort
 	backendControlPort
@@ -82,6 +83,7 @@
 	Service        Service
 	Caller         netip.AddrPort
 	Peer           netip.AddrPort
+	Hop            netip.AddrPort
 	Operator       netip.AddrPort
 	Backend        netip.AddrPort
 	BackendControl netip.AddrPort
@@ -150,6 +152,7 @@
 		Service:        service,
 		Caller:         loopback(firstPort + callerPort),
 		Peer:           loopback(firstPort + peerPort),
+		Hop:            loopback(firstPort + hopPort),
 		Operator:       loopback(firstPort + operatorPort),
 		Backend:        loopback(firstPort + backendPort),
 		BackendControl: loopback(firstPort + backendControlPort),
--- a/core/reader/event.go
+++ b/core/reader/event.go
@@ -1,6 +1,7 @@
 package reader
 
 import (
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/snapshot"
 )
@@ -22,13 +23,6 @@
 		Version id.Version
 		Reason  string
 	}
-
-	// HostsListed carries the platform's host list of one failure domain. It
-	// lags; only the state leaving in it is a credible sign.
-	HostsListed struct {
-		Domain id.Domain
-		Rows   []HostRow
-	}
 )
 
 // HostRow is one row of the platform's host list.
@@ -46,14 +40,21 @@
 // StateLeaving is the state of a row whose host is to get no new work.
 const StateLeaving = "leaving"
 
-// Leaving reports whether the platform lists the host as leaving.
-func (r HostRow) Leaving() bool { return r.State == StateLeaving }
+// entry converts the row. The list lags, so only the state leaving in it is a
+// credible sign; all other states count as alive.
+func (r HostRow) entry() endpoint.Entry {
+	entry := endpoint.Entry{
+		Host: r.Host, Domain: r.Domain, Region: r.Region, Service: r.Service,
+		Control: r.Control, Hop: r.Hop, Slots: r.Slots,
+	}
+	if r.State == StateLeaving {
+		entry.State = endpoint.Leaving
+	}
+	return entry
+}
 
 // EventName returns the name of the event.
 func (VersionRead) EventName() string { return "version_read" }
 
 // EventName returns the name of the event.
 func (VersionRefused) EventName() string { return "version_refused" }
-
-// EventName returns the name of the event.
-func (HostsListed) EventName() string { return "hosts_listed" }
--- a/core/reader/parts.go
+++ b/core/reader/parts.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/manifest"
@@ -113,5 +114,9 @@
 	}
 	p.hosts.index = event.Index
 	p.hosts.delay.pace(at)
-	out.Raise(HostsListed{Domain: event.Domain, Rows: rows})
+	entries := make([]endpoint.Entry, 0, len(rows))
+	for _, row := range rows {
+		entries = append(entries, row.entry())
+	}
+	out.Raise(kernel.HostsListed{Rows: entries})
 }
--- a/core/trace/event.go
+++ b/core/trace/event.go
@@ -20,7 +20,8 @@
 		Outbound bool      `json:"outbound,omitempty"`
 	}
 	linkDown struct {
-		Host id.Host `json:"host"`
+		Host     id.Host `json:"host"`
+		Outbound bool    `json:"outbound,omitempty"`
 	}
 	received struct {
 		Host  id.Host         `json:"host"`
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -58,7 +58,7 @@
 	case kernel.Dial:
 		d.transport.Dial(a.Host, a.Address)
 	case kernel.Hangup:
-		d.transport.Hangup(a.Host)
+		d.transport.Hangup(a.Host, a.Outbound)
 	case kernel.ReadManifest, kernel.ReadPart, kernel.ReadHosts, kernel.StopReading:
 		d.performRead(action)
 	case kernel.Publish:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,10 +23,15 @@
 
 	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/balance"
+	_ "marjoramsaddle/core/census" // registers its plug-in
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
+	_ "marjoramsaddle/core/member"  // registers its plug-in
+	_ "marjoramsaddle/core/overlay" // registers its plug-in
+	_ "marjoramsaddle/core/reader"  // registers its plug-in
 	"marjoramsaddle/core/snapshot"
+	_ "marjoramsaddle/core/spread" // registers its plug-in
 	"marjoramsaddle/io/backend"
 	"marjoramsaddle/io/caller"
 	"marjoramsaddle/io/certificate"
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -118,7 +118,7 @@
 	for version, reason := range census.GetRefused() {
 		domain.Refused[id.Version(version)] = reason
 	}
-	for _, host := range census.GetUnanswered() {
+	for _, host := range census.GetMissing() {
 		domain.Unanswered = append(domain.Unanswered, id.Host(host))
 	}
 	return domain
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -79,7 +79,7 @@
 		hop.Refuse(w, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err))
 		return
 	}
-	response, refused := s.Do(r.Context(), r, call)
+	response, refused := s.Do(r.Context(), r, call) //nolint:bodyclose // hop.Relay closes it.
 	if refused != nil {
 		hop.Refuse(w, refused)
 		return
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -86,7 +86,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer func() { h.options.Record.Call(outcome, h.options.Now().Sub(arrived)) }()
-	response, refused := h.serve(r, arrived)
+	response, refused := h.serve(r, arrived) //nolint:bodyclose // hop.Relay closes it.
 	if refused != nil {
 		outcome = refused.Outcome
 		h.options.Record.Refusal(refused.Reason)
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -32,13 +32,14 @@
 	queue      chan *message.Frame
 	closed     chan struct{}
 	once       sync.Once
-	preferred  bool
+	outbound   bool
 	since      time.Time
 }
 
-func newLink(peer certificate.Identity, connection *quic.Conn, stream *quic.Stream) *link {
+func newLink(peer certificate.Identity, connection *quic.Conn, stream *quic.Stream, outbound bool) *link {
 	return &link{
 		peer:       peer,
+		outbound:   outbound,
 		connection: connection,
 		stream:     stream,
 		queue:      make(chan *message.Frame, queueLength),
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -129,7 +129,7 @@
 	go func() {
 		defer t.wait.Done()
 		if err := t.dial(host, address); err != nil {
-			t.sink(kernel.LinkDown{Host: host})
+			t.sink(kernel.LinkDown{Host: host, Outbound: true})
 		}
 	}()
 }
@@ -211,8 +211,8 @@
 		_ = connection.CloseWithError(closeIdentity, "wrong identity")
 		return err
 	}
-	l := newLink(identity, connection, stream)
-	if !t.announce(l, outbound) {
+	l := newLink(identity, connection, stream, outbound)
+	if !t.announce(l) {
 		_ = connection.CloseWithError(closeDuplicate, "duplicate link")
 		return errDuplicate
 	}
@@ -232,13 +232,17 @@
 var errDuplicate = errors.New("peer: a link to this host exists")
 
 // announce registers the link and reports it.
-func (t *Transport) announce(l *link, outbound bool) bool {
+func (t *Transport) announce(l *link) bool {
 	t.events.Lock()
 	defer t.events.Unlock()
-	if !t.register(l, outbound) {
+	replaced, kept := t.register(l)
+	if !kept {
 		return false
 	}
-	t.sink(kernel.LinkUp{Host: l.peer.Host, Domain: l.peer.Domain, Outbound: outbound})
+	if replaced != nil {
+		t.sink(kernel.LinkDown{Host: replaced.peer.Host, Outbound: replaced.outbound})
+	}
+	t.sink(kernel.LinkUp{Host: l.peer.Host, Domain: l.peer.Domain, Outbound: l.outbound})
 	return true
 }
 
@@ -246,19 +250,24 @@
 // keep the one that the lexically smaller host has dialled. A link that has
 // stood for longer than a handshake can take was not crossed: its peer has
 // dialled again because it has lost the link, for example by a restart.
-func (t *Transport) register(l *link, outbound bool) bool {
+// It returns the link that l has replaced, and whether l was kept.
+func (t *Transport) register(l *link) (replaced *link, kept bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l.preferred = outbound == (t.self.Host < l.peer.Host)
-	if old, exists := t.links[l.peer.Host]; exists {
+	old := t.links[l.peer.Host]
+	if old != nil {
 		crossed := time.Since(old.since) < dialTimeout
-		if crossed && old.preferred && !l.preferred {
-			return false
+		if crossed && t.preferred(old) && !t.preferred(l) {
+			return nil, false
 		}
 		old.close(closeDuplicate)
 	}
 	t.links[l.peer.Host] = l
-	return true
+	return old, true
+}
+
+func (t *Transport) preferred(l *link) bool {
+	return l.outbound == (t.self.Host < l.peer.Host)
 }
 
 // drop removes the link and reports its end, unless another link to the same
@@ -274,7 +283,7 @@
 	}
 	t.mu.Unlock()
 	if current {
-		t.sink(kernel.LinkDown{Host: l.peer.Host})
+		t.sink(kernel.LinkDown{Host: l.peer.Host, Outbound: l.outbound})
 	}
 }
 
@@ -293,12 +302,12 @@
 	}
 }
 
-// Hangup ends the link to a host.
-func (t *Transport) Hangup(host id.Host) {
+// Hangup ends the link to a host if it is the one of the given direction.
+func (t *Transport) Hangup(host id.Host, outbound bool) {
 	t.mu.Lock()
 	l := t.links[host]
 	t.mu.Unlock()
-	if l != nil {
+	if l != nil && l.outbound == outbound {
 		l.close(closeUnwanted)
 	}
 }
