--- a/core/spread/network_test.go
+++ b/core/spread/network_test.go
@@ -18,6 +18,7 @@
 	"marjoramsaddle/core/message"
 	"marjoramsaddle/core/snapshot"
 	_ "marjoramsaddle/core/spread"
+	"marjoramsaddle/core/trace"
 )
 
 func TestMain(m *testing.M) {
@@ -39,7 +40,7 @@
 func (o *fakeOverlay) Handle(at id.Instant, event kernel.Event, out *kernel.Output) {
 	switch event := event.(type) {
 	case kernel.LinkUp:
-		o.shared.Links[event.Host] = &kernel.Link{Host: event.Host, Domain: event.Domain}
+		o.shared.Links[event.Host] = &kernel.Link{Host: event.Host, Domain: event.Domain, Outbound: event.Outbound}
 		out.Do(kernel.Send{Host: event.Host, Frame: o.hello()})
 	case kernel.LinkDown:
 		delete(o.shared.Links, event.Host)
@@ -50,39 +51,35 @@
 			o.beat(out)
 		}
 	case kernel.Received:
-		o.receive(at, event)
+		o.receive(event)
 	}
 }
 
 func (o *fakeOverlay) hello() *message.Frame {
-	self := o.shared.Env.Self
 	return &message.Frame{Body: &message.Frame_Hello{Hello: &message.Hello{
-		Host: string(self.Host), FailureDomain: string(self.Domain), Held: uint64(o.shared.HeldVersion()),
-		InForce: uint64(o.shared.InForceVersion()), HasMemory: o.shared.Held != nil,
+		FailureDomain: string(o.shared.Env.Self.Domain), Held: uint64(o.shared.HeldVersion()), InForce: uint64(o.shared.InForceVersion()),
 	}}}
 }
 
 func (o *fakeOverlay) beat(out *kernel.Output) {
 	for _, host := range o.shared.LinkHosts() {
 		out.Do(kernel.Send{Host: host, Frame: &message.Frame{Body: &message.Frame_Heartbeat{Heartbeat: &message.Heartbeat{
-			Held: uint64(o.shared.HeldVersion()), InForce: uint64(o.shared.InForceVersion()),
-			Refused: uint64(o.shared.Refused), HasMemory: o.shared.Held != nil,
+			Held: uint64(o.shared.HeldVersion()), InForce: uint64(o.shared.InForceVersion()), Refused: uint64(o.shared.Refused),
 		}}}})
 	}
 }
 
-func (o *fakeOverlay) receive(at id.Instant, event kernel.Received) {
+func (o *fakeOverlay) receive(event kernel.Received) {
 	link := o.shared.Links[event.Host]
 	if link == nil {
 		return
 	}
-	link.HeardAt = at
 	if hello := event.Frame.GetHello(); hello != nil {
-		link.Greeted, link.Held, link.HasMemory = true, id.Version(hello.GetHeld()), hello.GetHasMemory()
+		link.Greeted, link.Held = true, id.Version(hello.GetHeld())
 		o.shared.Table.Merge(endpoint.Entry{Host: event.Host, Domain: link.Domain})
 	}
 	if beat := event.Frame.GetHeartbeat(); beat != nil {
-		link.Held, link.InForce = id.Version(beat.GetHeld()), id.Version(beat.GetInForce())
+		link.Held = id.Version(beat.GetHeld())
 	}
 }
 
@@ -95,16 +92,16 @@
 
 // node is one kernel in the network.
 type node struct {
-	env      kernel.Environment
-	kernel   *kernel.Kernel
-	life     int
-	paused   bool
-	backlog  []kernel.Event
-	ready    kernel.Readiness
-	inForce  id.Version
-	servedAt id.Instant
-	counts   map[string]int
-	watch    bool
+	env     kernel.Environment
+	kernel  *kernel.Kernel
+	life    int
+	paused  bool
+	backlog []kernel.Event
+	ready   kernel.Readiness
+	inForce id.Version
+	counts  map[string]int
+	watch   bool
+	records []trace.Record
 }
 
 type delivery struct {
@@ -118,7 +115,6 @@
 // network runs kernels against each other in virtual time and records every
 // broken promise in faults.
 type network struct {
-	t        testing.TB
 	now      id.Instant
 	order    int
 	random   *rand.Rand
@@ -131,13 +127,16 @@
 	serving    id.Version
 	consistent bool
 	drop       func(from, to id.Host, frame *message.Frame) bool
-	ran        map[id.Host]id.Version
-	faults     []string
+	// delay is the greatest delay of a frame; frames overtake each other when
+	// it is above the one of a millisecond.
+	delay  time.Duration
+	ran    map[id.Host]id.Version
+	faults []string
 }
 
-func newNetwork(t testing.TB, seed uint64) *network {
+func newNetwork(seed uint64) *network {
 	return &network{
-		t: t, now: id.Instant(time.Hour), random: rand.New(rand.NewPCG(seed, 1)), nodes: map[id.Host]*node{},
+		now: id.Instant(time.Hour), random: rand.New(rand.NewPCG(seed, 1)), nodes: map[id.Host]*node{},
 		links: map[[2]id.Host]bool{}, versions: map[id.Version]publication{}, consistent: true,
 		ran: map[id.Host]id.Version{}, drop: func(id.Host, id.Host, *message.Frame) bool { return false },
 	}
@@ -198,27 +197,23 @@
 
 func (n *network) deliver(host id.Host, after time.Duration, event kernel.Event) {
 	n.order++
-	n.queue = append(n.queue, delivery{n.now.Add(after), n.order, host, n.nodes[host].life, event})
+	next := delivery{n.now.Add(after), n.order, host, n.nodes[host].life, event}
+	place, _ := slices.BinarySearchFunc(n.queue, next, func(a, b delivery) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order))
+	})
+	n.queue = slices.Insert(n.queue, place, next)
 }
 
 // run lets time pass.
 func (n *network) run(span time.Duration) {
-	for end := n.now.Add(span); ; {
-		if len(n.queue) == 0 {
-			n.now = end
-			return
-		}
-		next := slices.MinFunc(n.queue, func(a, b delivery) int {
-			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order))
-		})
-		if next.at > end {
-			n.now = end
-			return
-		}
-		n.queue = slices.DeleteFunc(n.queue, func(d delivery) bool { return d.order == next.order })
+	end := n.now.Add(span)
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		next := n.queue[0]
+		n.queue = n.queue[1:]
 		n.now = next.at
 		n.handle(next)
 	}
+	n.now = end
 }
 
 func (n *network) handle(next delivery) {
@@ -240,6 +235,7 @@
 }
 
 func (n *network) step(host id.Host, to *node, event kernel.Event) {
+	to.records = append(to.records, trace.Record{At: n.now, Event: event})
 	for _, action := range to.kernel.Step(n.now, event) {
 		n.act(host, to, action)
 	}
@@ -259,7 +255,8 @@
 	switch action := action.(type) {
 	case kernel.Send:
 		if n.links[[2]id.Host{host, action.Host}] && !n.drop(host, action.Host, action.Frame) {
-			n.deliver(action.Host, time.Millisecond, kernel.Received{Host: host, Frame: action.Frame})
+			after := time.Millisecond + time.Duration(n.random.Int64N(int64(n.delay)+1))
+			n.deliver(action.Host, after, kernel.Received{Host: host, Frame: action.Frame})
 		}
 	case kernel.ReadManifest:
 		n.answerManifest(host, from, action)
@@ -276,7 +273,6 @@
 		from.inForce = action.View.Version
 	case kernel.SetReady:
 		from.ready = action.Ready
-		from.servedAt = n.now
 	case kernel.Count:
 		from.counts[action.Name]++
 	}
--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -116,8 +116,10 @@
 
 func digestPrefix(digest id.Digest) uint64 { return binary.BigEndian.Uint64(digest[:8]) }
 
-// preceding returns the linked hosts, the nearest before this host in the ring
-// of hashed host names first, those of other failure domains last.
+// preceding returns the linked hosts, those that dialled this host first and
+// among them the nearest before it in the ring of hashed host names. Hosts of
+// other failure domains are last. As each host dials its successors, it hears
+// of a version from the hosts it dialled.
 func (p *plugin) preceding() []id.Host {
 	hosts := p.shared.LinkHosts()
 	self := ringPosition(p.env.Self.Host)
@@ -125,6 +127,7 @@
 		// The subtraction wraps around the ring.
 		return cmp.Or(
 			compareFlags(p.remote(a), p.remote(b)),
+			compareFlags(p.shared.Links[a].Outbound, p.shared.Links[b].Outbound),
 			cmp.Compare(self-ringPosition(a), self-ringPosition(b)),
 		)
 	})
@@ -135,12 +138,12 @@
 
 func (p *plugin) receivePush(at id.Instant, host id.Host, push *message.Push, out *kernel.Output) {
 	version := id.Version(push.GetVersion())
-	p.peer(host).holds(version)
 	if p.want.host == host {
 		p.want.until = 0
 	}
 	switch held := p.shared.HeldVersion(); {
 	case version < held:
+		p.peer(host).holds(version)
 		out.Do(kernel.Count{Name: CountPushOlder})
 	case version == held:
 		p.receiveDuplicate(host, push, out)
@@ -154,6 +157,7 @@
 		p.conflict(id.Version(push.GetVersion()), string(host), out)
 		return
 	}
+	p.peer(host).holds(p.shared.HeldVersion())
 	// A push and the answer to a want may both come from the host that
 	// delivered the version first; its link is not redundant.
 	if host != p.heldFrom {
@@ -176,6 +180,7 @@
 		result, err = delta.Apply(base)
 	}
 	if err == nil {
+		p.peer(host).holds(result.Version)
 		p.adopt(at, result, host, out)
 		return
 	}
