--- a/core/overlay/overlay.go
+++ b/core/overlay/overlay.go
@@ -235,8 +235,7 @@
 	}}}
 }
 
-// hasMemory reports whether this host has held a version or has learned that
-// there is none.
-func (p *plugin) hasMemory() bool {
-	return p.shared.Held != nil || p.shared.Ready == kernel.Serving
-}
+// hasMemory reports whether this host vouches for a version floor. A version
+// that is held but not in force does not count: two restarted hosts would take
+// a stale version from each other.
+func (p *plugin) hasMemory() bool { return p.shared.InForce != nil }
--- a/core/reader/reader_test.go
+++ b/core/reader/reader_test.go
@@ -33,9 +33,9 @@
 			event.Snapshot.Version, event.Consistent, len(event.Snapshot.Documents().Canonical))})
 	case VersionRefused:
 		out.Do(kernel.Log{Text: fmt.Sprintf("version_refused %d: %s", event.Version, event.Reason)})
-	case HostsListed:
+	case kernel.HostsListed:
 		out.Do(kernel.Log{Text: fmt.Sprintf("hosts_listed %s %d leaving=%t",
-			event.Domain, len(event.Rows), event.Rows[0].Leaving())})
+			event.Rows[0].Domain, len(event.Rows), event.Rows[0].State == endpoint.Leaving)})
 	}
 }
 
--- a/core/spread/floor.go
+++ b/core/spread/floor.go
@@ -127,14 +127,15 @@
 	p.release(at, out)
 }
 
-// release adopts a version from the platform once another failure domain was
-// asked whether it knows a newer one.
+// release adopts a version from the platform. Before the floor is established,
+// another failure domain is asked first whether it knows a newer one. Later,
+// belowKnown is enough: the version is newer than all that this host has run.
 func (p *plugin) release(at id.Instant, out *kernel.Output) {
 	if p.reading == nil {
 		return
 	}
 	read := p.reading
-	if !p.otherDomainAnswered(at) {
+	if !p.start.established && !p.otherDomainAnswered(at) {
 		if at.Before(read.deadline) {
 			return
 		}
