Suspect nobody while all links are quiet

Cause: a host whose links were all silent could suspect its neighbours in the moment before the overlay hung the links up. Ruled out: relying on the overlay to remove the links first; it depends on the phase of two timers.

--- a/core/member/network_test.go
+++ b/core/member/network_test.go
@@ -184,6 +184,7 @@
 		node.census = action.Census
 	case kernel.Count:
 		n.counts[action.Name]++
+		n.counts[string(host)+"/"+action.Name]++
 	}
 }
 
--- a/core/member/watch.go
+++ b/core/member/watch.go
@@ -20,6 +20,9 @@
 	// maxDoublings bounds the time to the next suspicion of a host that has
 	// refuted earlier ones: it lives but cannot be reached from here.
 	maxDoublings = 4
+	// quietLimit is how long all links may be quiet at once. Each carries a
+	// heartbeat per second.
+	quietLimit = 1500 * time.Millisecond
 	// watchInterval is the time between two looks at the neighbours.
 	watchInterval = 200 * time.Millisecond
 	// ageInterval is the time between two looks at all suspect and dead hosts.
@@ -79,8 +82,8 @@
 }
 
 // watchNeighbours suspects the neighbours that have been silent for too long.
-// A host without any link suspects nobody: its own network is the likelier
-// cause.
+// A host that hears nothing on any link suspects nobody: its own network, or a
+// pause of its own, is the likelier cause.
 func (p *plugin) watchNeighbours(at id.Instant, out *kernel.Output) {
 	if p.watch.lookedAt != 0 && at.Sub(p.watch.lookedAt) < watchInterval {
 		return
@@ -89,7 +92,7 @@
 	watched := p.watched()
 	maps.DeleteFunc(p.watch.silent, func(host id.Host, _ id.Instant) bool { return !watched[host] })
 	maps.DeleteFunc(p.watch.met, func(host id.Host, _ bool) bool { return !watched[host] })
-	if len(p.shared.LinkHosts()) == 0 {
+	if !p.hearsAny(at) {
 		for host := range p.watch.silent {
 			p.watch.silent[host] = at
 		}
@@ -108,6 +111,15 @@
 	}
 }
 
+func (p *plugin) hearsAny(at id.Instant) bool {
+	for _, link := range p.shared.Links {
+		if link.Greeted && at.Sub(link.HeardAt) <= quietLimit {
+			return true
+		}
+	}
+	return false
+}
+
 // watched returns the hosts whose silence counts: those that this host dials,
 // and those of its callers that it has met.
 func (p *plugin) watched() map[id.Host]bool {
