Test that the census of the last second is reused

Cause: nothing guarded the reuse of a result. Ruled out: nothing. Before: the second question of TestCensus came after more than a second. After: a question right after the first answer is answered in the same step; go test -race ./core/member -run Census passes.

--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -253,6 +253,9 @@
 		is.Equal(len(domain.Hosts), 12)
 		is.Equal(len(domain.Missing)+len(domain.Behind), 0)
 	}
+	asker.census = nil
+	n.step(n.order[7], kernel.StatusRequested{ID: 3, Deadline: n.now.Add(time.Second)})
+	is.Equal(len(asker.census), 4) // reused within a second
 	n.stop(n.order[20])
 	n.run(2 * time.Second)
 	asker.census = nil
