Elect readers from the shared topology, after the table has settled

Cause: core/reader ranked the table itself, with a hash other than that of core/overlay, and before a starting host knew its neighbours; in a mass start every host would have taken itself for a reader. Ruled out: a second election in core/reader, because two rankings of one table disagree.

--- a/core/reader/reader.go
+++ b/core/reader/reader.go
@@ -10,14 +10,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/manifest"
-	"marjoramsaddle/core/topology"
 )
 
 const part = "reader"
@@ -35,8 +33,8 @@
 )
 
 const (
-	// settleTime lets the endpoint table fill after the first link, so that a
-	// daemon that knows only itself does not read as its domain's reader.
+	// settleTime lets the endpoint table fill after the first link. Two hosts
+	// that start together agree on a table at once, but it holds only them.
 	settleTime = 500 * time.Millisecond
 	// lonelyTime is the time after which a daemon without links reads.
 	lonelyTime = 3 * time.Second
@@ -54,21 +52,12 @@
 	greetedAt id.Instant
 	jitter    time.Duration
 	active    bool
-	elected   election
 
 	manifest manifestRead
 	parts    partRead
 	hosts    hostRead
 }
 
-// election caches whether this host is a reader. Ranking a failure domain of
-// 450 hosts at each tick would take a notable share of the CPU budget.
-type election struct {
-	done   bool
-	table  uint64
-	reader bool
-}
-
 // manifestRead is the state of the waiting read of the manifest.
 type manifestRead struct {
 	pending bool
@@ -148,11 +137,7 @@
 	if !p.settled(at) {
 		return false
 	}
-	if digest := p.shared.Table.Digest(); !p.elected.done || digest != p.elected.table {
-		readers := topology.Readers(p.shared.Table, p.env.Self.Domain, topology.ReadersPerDomain)
-		p.elected = election{done: true, table: digest, reader: slices.Contains(readers, p.env.Self.Host)}
-	}
-	return p.elected.reader
+	return p.shared.Topology.Reader
 }
 
 func (p *plugin) settled(at id.Instant) bool {
@@ -160,7 +145,7 @@
 		return true
 	}
 	if p.greetedAt != 0 {
-		return at.Sub(p.greetedAt) >= settleTime+p.jitter
+		return p.shared.TableSettled && at.Sub(p.greetedAt) >= settleTime+p.jitter
 	}
 	return at.Sub(p.started) >= lonelyTime+p.jitter
 }
--- a/core/reader/reader_test.go
+++ b/core/reader/reader_test.go
@@ -16,10 +16,14 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/manifest"
+	"marjoramsaddle/core/topology"
 )
 
 func TestMain(m *testing.M) {
-	kernel.Register("witness", func(kernel.Environment, *kernel.Shared) kernel.Plugin { return witness{} })
+	kernel.Register("witness", func(_ kernel.Environment, shared *kernel.Shared) kernel.Plugin {
+		shared.TableSettled = true
+		return witness{}
+	})
 	os.Exit(m.Run())
 }
 
@@ -81,6 +85,7 @@
 			k.Shared().Table.Merge(endpoint.Entry{Host: host, Domain: "a"})
 		}
 	}
+	k.Shared().Topology = topology.Of(k.Shared().Table, env.Self.Host)
 	return k
 }
 
--- a/core/spread/network_test.go
+++ b/core/spread/network_test.go
@@ -18,6 +18,7 @@
 	"marjoramsaddle/core/message"
 	"marjoramsaddle/core/snapshot"
 	_ "marjoramsaddle/core/spread"
+	"marjoramsaddle/core/topology"
 	"marjoramsaddle/core/trace"
 )
 
@@ -38,9 +39,11 @@
 }
 
 func (o *fakeOverlay) Handle(at id.Instant, event kernel.Event, out *kernel.Output) {
+	o.shared.Topology = topology.Of(o.shared.Table, o.shared.Env.Self.Host)
 	switch event := event.(type) {
 	case kernel.LinkUp:
 		o.shared.Links[event.Host] = &kernel.Link{Host: event.Host, Domain: event.Domain, Outbound: event.Outbound}
+		o.shared.TableSettled = true
 		out.Do(kernel.Send{Host: event.Host, Frame: o.hello()})
 	case kernel.LinkDown:
 		delete(o.shared.Links, event.Host)
--- a/core/topology/topology.go
+++ b/core/topology/topology.go
@@ -26,10 +26,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// ReadersPerDomain is the number of hosts of a failure domain that read the
-// platform, so that the loss of one delays no version.
-const ReadersPerDomain = 2
-
 const (
 	// ReaderCount is the number of readers of a failure domain. A second one
 	// goes on when the first fails.
