Write every kernel event to trace_file, with the environment first

Cause: a replay needs the environment of the kernel, and the recent events of a killed daemon are gone with it. Ruled out: encoding in the control goroutine, because a slow disk would stop it; dropping single events when the queue is full, because a trace with a gap replays to another state. Before: GET /v1/trace had no header, and a ring that had wrapped looked like a whole trace. Options for validation, whole versions and pauses were missing, so no replay could show these mechanisms off. After: a header with Self, Seeds, Options, RandomSeed and the number of dropped events; trace_file; trace.Observe and Expectation.Check; Options.AcceptPartial, NoValidation and NoResync. Conclusion: a trace replays from its file alone, also after SIGKILL.

--- a/core/kernel/shared.go
+++ b/core/kernel/shared.go
@@ -56,6 +56,13 @@
 	NoWitness bool
 	// AcceptOlder adopts whatever index the platform returns.
 	AcceptOlder bool
+	// AcceptPartial adopts a version as soon as one of its parts has arrived,
+	// without the others.
+	AcceptPartial bool
+	// NoValidation puts versions in force without validating them.
+	NoValidation bool
+	// NoResync goes on serving after a pause of the process.
+	NoResync bool
 }
 
 // Link is the state of the control link to one peer.
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -84,6 +84,19 @@
 // Assemble decodes the parts into one validated set of documents. The map
 // holds the bytes of each part by its hash.
 func (m *Manifest) Assemble(parts map[id.Digest][]byte) (*document.Set, error) {
+	set, err := m.Collect(parts)
+	if err != nil {
+		return nil, err
+	}
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// Collect decodes the parts as Assemble does, but does not validate the set as
+// a whole.
+func (m *Manifest) Collect(parts map[id.Digest][]byte) (*document.Set, error) {
 	set := document.NewSet()
 	for _, part := range m.Parts {
 		data, ok := parts[part.SHA256]
@@ -97,8 +110,5 @@
 			return nil, err
 		}
 	}
-	if err := set.Validate(); err != nil {
-		return nil, err
-	}
 	return set, nil
 }
--- a/core/reader/parts.go
+++ b/core/reader/parts.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"slices"
 
+	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
@@ -79,10 +81,10 @@
 
 // assemble raises the version once all parts are there.
 func (p *plugin) assemble(out *kernel.Output) {
-	if len(p.parts.missing()) > 0 {
+	if len(p.parts.missing()) > 0 && !p.acceptPartial() {
 		return
 	}
-	set, err := p.parts.manifest.Assemble(p.parts.have)
+	set, err := p.documents()
 	p.parts.manifest = nil
 	if err != nil {
 		out.Raise(VersionRefused{Version: p.parts.version, Reason: err.Error()})
@@ -91,6 +93,25 @@
 	out.Raise(VersionRead{Snapshot: snapshot.New(p.parts.version, set), Consistent: p.parts.consistent})
 }
 
+// acceptPartial reports whether the check that all parts are there is off.
+func (p *plugin) acceptPartial() bool {
+	return p.env.Options.AcceptPartial && len(p.parts.missing()) < len(p.parts.manifest.Parts)
+}
+
+// documents decodes the parts that are there. The options are baselines that
+// show what the checks prevent.
+func (p *plugin) documents() (*document.Set, error) {
+	present := *p.parts.manifest
+	present.Parts = slices.DeleteFunc(slices.Clone(present.Parts), func(part manifest.Part) bool {
+		_, ok := p.parts.have[part.SHA256]
+		return !ok
+	})
+	if p.env.Options.NoValidation {
+		return present.Collect(p.parts.have)
+	}
+	return present.Assemble(p.parts.have)
+}
+
 func (p *plugin) hostsRead(at id.Instant, event kernel.HostListRead, out *kernel.Output) {
 	if !p.active {
 		return
--- a/core/spread/resync.go
+++ b/core/spread/resync.go
@@ -30,7 +30,7 @@
 	if _, tick := event.(kernel.Tick); tick || paused || p.resync.lastTick == 0 {
 		p.resync.lastTick = at
 	}
-	if !paused || p.shared.InForce == nil {
+	if !paused || p.shared.InForce == nil || p.env.Options.NoResync {
 		return
 	}
 	p.resync.until = at.Add(resyncLimit)
--- /dev/null
+++ b/core/trace/header.go
@@ -0,0 +1,123 @@
+package trace
+
+import (
+	"bufio"
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"marjoramsaddle/core/endpoint"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+)
+
+// headerName is the event name of the first record of a trace.
+const headerName = "environment"
+
+// ErrCut means that the last line is not whole, as a killed process leaves it.
+var ErrCut = errors.New("the last line is not whole")
+
+// Header is the first record of a trace. A replay needs it.
+type Header struct {
+	Environment kernel.Environment
+	// Dropped is the number of events before the first one of the trace. A
+	// replay of such a trace starts without what these events did.
+	Dropped uint64
+}
+
+// header and options are the forms of Header and kernel.Options in a trace.
+type (
+	header struct {
+		Self        endpoint.Entry `json:"self"`
+		Seeds       []kernel.Seed  `json:"seeds,omitempty"`
+		RandomSeed  uint64         `json:"random_seed"`
+		HasPlatform bool           `json:"has_platform"`
+		Options     options        `json:"options"`
+		Dropped     uint64         `json:"dropped,omitempty"`
+	}
+	options struct {
+		Strategy      kernel.Strategy `json:"strategy,omitempty"`
+		NoFloor       bool            `json:"no_floor,omitempty"`
+		NoWitness     bool            `json:"no_witness,omitempty"`
+		AcceptOlder   bool            `json:"accept_older,omitempty"`
+		AcceptPartial bool            `json:"accept_partial,omitempty"`
+		NoValidation  bool            `json:"no_validation,omitempty"`
+		NoResync      bool            `json:"no_resync,omitempty"`
+	}
+)
+
+// WriteHeader writes the header. It comes before all events.
+func (w *Writer) WriteHeader(at id.Instant, h Header) error {
+	env := h.Environment
+	body, err := json.Marshal(header{
+		Self: env.Self, Seeds: env.Seeds, RandomSeed: env.RandomSeed,
+		HasPlatform: env.HasPlatform, Options: options(env.Options), Dropped: h.Dropped,
+	})
+	if err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	if err := w.out.Encode(line{At: at, Event: headerName, Body: body}); err != nil {
+		return fmt.Errorf("write trace: %w", err)
+	}
+	return nil
+}
+
+func decodeHeader(body json.RawMessage) (*Header, error) {
+	var read header
+	if err := json.Unmarshal(body, &read); err != nil {
+		return nil, err
+	}
+	return &Header{Dropped: read.Dropped, Environment: kernel.Environment{
+		Self: read.Self, Seeds: read.Seeds, RandomSeed: read.RandomSeed,
+		HasPlatform: read.HasPlatform, Options: kernel.Options(read.Options),
+	}}, nil
+}
+
+// Trace is a whole trace.
+type Trace struct {
+	// Header is nil when the trace has none.
+	Header  *Header
+	Records []Record
+	// Cut is true when the recording process was killed within the last line,
+	// which is then left out.
+	Cut bool
+}
+
+// Read reads a trace, which may be compressed with gzip.
+func Read(in io.Reader) (*Trace, error) {
+	plain, err := decompress(in)
+	if err != nil {
+		return nil, err
+	}
+	reader := NewReader(plain)
+	t := &Trace{}
+	for {
+		record, err := reader.Next()
+		t.Header = reader.Header()
+		switch {
+		case errors.Is(err, io.EOF):
+			return t, nil
+		case errors.Is(err, ErrCut):
+			t.Cut = true
+			return t, nil
+		case err != nil:
+			return nil, err
+		}
+		t.Records = append(t.Records, record)
+	}
+}
+
+func decompress(in io.Reader) (io.Reader, error) {
+	buffered := bufio.NewReader(in)
+	magic, err := buffered.Peek(2)
+	if err != nil || magic[0] != 0x1f || magic[1] != 0x8b {
+		return buffered, nil // An empty trace ends at its first read.
+	}
+	plain, err := gzip.NewReader(buffered)
+	if err != nil {
+		return nil, fmt.Errorf("read trace: %w: record the trace again", err)
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/core/trace/outcome_test.go
@@ -0,0 +1,96 @@
+package trace_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/endpoint"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+	"marjoramsaddle/core/trace"
+)
+
+// Guards against a header that loses a field, and against a trace of a killed
+// process that can't be read or hides that it was cut.
+func TestReadCutTrace(t *testing.T) {
+	is := is.New(t)
+	header := trace.Header{Dropped: 7, Environment: kernel.Environment{
+		Self:  endpoint.Entry{Host: "a", Domain: "reduit", Incarnation: 3, Sequence: 1},
+		Seeds: []kernel.Seed{{Host: "b", Domain: "ebene", Address: "192.0.2.1:1"}}, RandomSeed: 9, HasPlatform: true,
+		Options: kernel.Options{
+			Strategy: kernel.Full, NoFloor: true, NoWitness: true, AcceptOlder: true,
+			AcceptPartial: true, NoValidation: true, NoResync: true,
+		},
+	}}
+	var packed bytes.Buffer
+	zip := gzip.NewWriter(&packed)
+	writer := trace.NewWriter(zip)
+	is.NoErr(writer.WriteHeader(1, header))
+	is.NoErr(writer.Write(2, kernel.Tick{}))
+	_, err := zip.Write([]byte(`{"at":3,"event":"ti`))
+	is.NoErr(errors.Join(err, zip.Close()))
+	recorded, err := trace.Read(&packed)
+	is.NoErr(err)
+	is.Equal(*recorded.Header, header)
+	is.Equal(recorded.Records, []trace.Record{{At: 2, Event: kernel.Tick{}}})
+	is.True(recorded.Cut)
+	_, err = trace.Read(strings.NewReader("{\n{\"at\":1,\"event\":\"tick\"}\n"))
+	is.True(err != nil) // damage before the end is no cut
+}
+
+// Guards against a stated outcome that no replay can miss.
+func TestCheckFindsEachBreach(t *testing.T) {
+	good := func(at id.Instant, version id.Version) trace.Change {
+		return trace.Change{At: at, Kind: trace.InForce, Version: version, Digest: id.Digest{byte(version)}}
+	}
+	ready := func(at id.Instant, ready kernel.Readiness) trace.Change {
+		return trace.Change{At: at, Kind: trace.Readiness, Ready: ready}
+	}
+	stated := trace.Expectation{
+		Allowed:  []trace.Allowed{{Version: 5, Digest: id.Digest{5}}, {Version: 7, Digest: id.Digest{7}}},
+		Refused:  []id.Version{6},
+		Due:      []trace.Due{{Version: 7, By: 50}},
+		Current:  []trace.Current{{Version: 7, From: 30}},
+		Counters: map[string]int{"resync": 1},
+	}
+	met := []trace.Change{
+		good(10, 5), ready(10, kernel.Serving),
+		{At: 20, Kind: trace.Refused, Version: 6},
+		ready(31, kernel.Resyncing), good(40, 7), ready(40, kernel.Serving),
+	}
+	with := func(index int, change ...trace.Change) []trace.Change {
+		return append(append(met[:index:index], change...), met[index+1:]...)
+	}
+	cases := []struct {
+		name     string
+		changes  []trace.Change
+		promises []trace.Promise
+	}{
+		{"met", met, nil},
+		{"older at the start", with(0, good(10, 4)), []trace.Promise{trace.NeverOlder}},
+		{"older later", append(met[:6:6], good(60, 5)), []trace.Promise{trace.NeverOlder, trace.AfterPause}},
+		{"bad one", with(0, good(10, 6)), []trace.Promise{trace.NeverPartial}},
+		{"other content", with(0, trace.Change{At: 10, Kind: trace.InForce, Version: 5}), []trace.Promise{trace.NeverPartial}},
+		{"dangling", with(0, trace.Change{Kind: trace.InForce, Version: 5, Digest: id.Digest{5}, Dangling: []string{"r"}}), []trace.Promise{trace.NoDangling}},
+		{"not refused", with(2), []trace.Promise{trace.MustRefuse}},
+		{"late", with(4, good(51, 7)), []trace.Promise{trace.InTime}},
+		{"served after the pause", with(3), []trace.Promise{trace.AfterPause}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			outcome := trace.Outcome{Changes: c.changes, Counters: map[string]int{"resync": 1}, Events: []id.Instant{10, 20, 31, 40, 60}}
+			var promises []trace.Promise
+			for _, breach := range stated.Check(outcome) {
+				promises = append(promises, breach.Promise)
+			}
+			is.Equal(promises, c.promises)
+			is.Equal(len(stated.Check(trace.Outcome{})), 3) // not refused, not in force, not counted
+		})
+	}
+}
--- a/core/trace/trace.go
+++ b/core/trace/trace.go
@@ -1,14 +1,17 @@
 // Package trace records the events of a kernel and replays them without
 // sockets or clocks. A trace has one JSON object a line: the time in Unix
-// nanoseconds, the name of the event and its fields.
+// nanoseconds, the name of the event and its fields. The first line is the
+// header with the environment of the kernel.
 //
 // Usage:
 //
 //	writer := trace.NewWriter(file)
-//	err := writer.Write(now, kernel.Tick{})
+//	err := writer.WriteHeader(now, trace.Header{Environment: env})
+//	err = writer.Write(now, kernel.Tick{})
 //
-//	records, err := trace.ReadAll(file)
-//	steps := trace.Replay(env, records)
+//	recorded, err := trace.Read(file)
+//	outcome := trace.Observe(recorded.Header.Environment, recorded.Records)
+//	breaches := expectation.Check(outcome)
 package trace
 
 import (
@@ -61,6 +64,7 @@
 type Reader struct {
 	lines  *bufio.Scanner
 	number int
+	header *Header
 }
 
 // NewReader returns a reader of in.
@@ -70,25 +74,40 @@
 	return &Reader{lines: lines}
 }
 
+// Header returns the header, or nil before it was read or when there is none.
+func (r *Reader) Header() *Header { return r.header }
+
 // Next returns the next record, or io.EOF at the end.
 func (r *Reader) Next() (Record, error) {
-	if !r.lines.Scan() {
-		if err := r.lines.Err(); err != nil {
-			return Record{}, fmt.Errorf("read trace: line %d: %w: shorten or remove the line", r.number+1, err)
+	for r.lines.Scan() {
+		r.number++
+		read, err := r.parse(r.lines.Bytes())
+		if err == nil && read.Event == nil {
+			continue // The header is no event.
+		}
+		if err != nil {
+			return Record{}, fmt.Errorf("read trace: line %d: %w: record the trace again", r.number, err)
 		}
-		return Record{}, io.EOF
+		return read, nil
 	}
-	r.number++
-	record, err := parse(r.lines.Bytes())
-	if err != nil {
-		return Record{}, fmt.Errorf("read trace: line %d: %w: record the trace again", r.number, err)
+	if err := r.lines.Err(); err != nil {
+		return Record{}, fmt.Errorf("read trace: line %d: %w: shorten or remove the line", r.number+1, err)
 	}
-	return record, nil
+	return Record{}, io.EOF
 }
 
-func parse(data []byte) (Record, error) {
+func (r *Reader) parse(data []byte) (Record, error) {
 	var read line
 	if err := json.Unmarshal(data, &read); err != nil {
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) && !r.lines.Scan() {
+			return Record{}, errors.Join(ErrCut, err)
+		}
+		return Record{}, err
+	}
+	if read.Event == headerName && r.number == 1 {
+		header, err := decodeHeader(read.Body)
+		r.header = header
 		return Record{}, err
 	}
 	event, err := decode(read.Event, read.Body)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -46,6 +46,7 @@
 func (d *Daemon) step(event kernel.Event) {
 	at := now()
 	d.recent.add(at, event)
+	d.recorder.add(at, event)
 	for _, action := range d.kernel.Step(at, event) {
 		d.perform(action)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -61,7 +61,9 @@
 	queries chan func(*kernel.Kernel)
 	stopped chan struct{}
 	recent  *recentEvents
-	answers answers
+	// recorder is nil unless the settings name a trace file.
+	recorder *recorder
+	answers  answers
 
 	transport *peer.Transport
 	platform  *platform.Client
@@ -104,43 +106,26 @@
 		events:   make(chan kernel.Event, eventQueue),
 		queries:  make(chan func(*kernel.Kernel)),
 		stopped:  make(chan struct{}),
-		recent:   newRecentEvents(s.TraceEvents),
 	}
 	if s.PlatformURL != "" {
 		d.platform = platform.NewClient(s.PlatformURL)
 	}
-	d.kernel = kernel.New(d.environment())
+	env := s.Environment(now())
+	d.kernel = kernel.New(env)
+	d.recent = newRecentEvents(s.TraceEvents, env)
 	d.buildTraffic()
 	return d, nil
 }
 
 func now() id.Instant { return id.InstantOf(time.Now()) }
 
-func (d *Daemon) environment() kernel.Environment {
-	started := now()
-	s := d.settings
-	return kernel.Environment{
-		Self: endpoint.Entry{
-			Host:        s.Host,
-			Domain:      s.FailureDomain,
-			Region:      s.Region,
-			Service:     s.Service,
-			Control:     s.ControlAddress,
-			Hop:         s.HopAddress,
-			Incarnation: id.Incarnation(started),
-			Sequence:    1,
-			Started:     started,
-		},
-		Seeds:       s.Seeds,
-		RandomSeed:  uint64(started),
-		HasPlatform: d.platform != nil,
-		Options:     s.Options(),
-	}
-}
-
 // Run serves until the context ends, and then stops gracefully: work in
 // progress finishes, bounded by the drain deadline of the settings.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.startRecorder(); err != nil {
+		return err
+	}
+	defer d.recorder.close()
 	if err := d.listen(); err != nil {
 		return err
 	}
--- a/daemon/recent.go
+++ b/daemon/recent.go
@@ -11,19 +11,24 @@
 
 // recentEvents keeps the last events of the kernel for the operators' trace.
 type recentEvents struct {
-	mu     sync.Mutex
-	events []trace.Record
-	next   int
-	full   bool
+	env     kernel.Environment
+	mu      sync.Mutex
+	events  []trace.Record
+	next    int
+	full    bool
+	dropped uint64
 }
 
-func newRecentEvents(count int) *recentEvents {
-	return &recentEvents{events: make([]trace.Record, max(1, count))}
+func newRecentEvents(count int, env kernel.Environment) *recentEvents {
+	return &recentEvents{env: env, events: make([]trace.Record, max(1, count))}
 }
 
 func (r *recentEvents) add(at id.Instant, event kernel.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.full {
+		r.dropped++
+	}
 	r.events[r.next] = trace.Record{At: at, Event: event}
 	r.next++
 	if r.next == len(r.events) {
@@ -32,19 +37,24 @@
 	}
 }
 
-func (r *recentEvents) ordered() []trace.Record {
+func (r *recentEvents) ordered() (trace.Header, []trace.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []trace.Record
 	if r.full {
 		out = append(out, r.events[r.next:]...)
 	}
-	return append(out, r.events[:r.next]...)
+	header := trace.Header{Environment: r.env, Dropped: r.dropped}
+	return header, append(out, r.events[:r.next]...)
 }
 
 func (r *recentEvents) write(w io.Writer) error {
 	writer := trace.NewWriter(w)
-	for _, record := range r.ordered() {
+	header, records := r.ordered()
+	if err := writer.WriteHeader(id.Instant(r.env.Self.Incarnation), header); err != nil {
+		return err
+	}
+	for _, record := range records {
 		if err := writer.Write(record.At, record.Event); err != nil {
 			return err
 		}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -20,6 +20,7 @@
 	"os"
 	"time"
 
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 )
@@ -57,6 +58,9 @@
 	LogLevel string `json:"log_level,omitempty"`
 	// TraceEvents is the number of recent kernel events that are kept.
 	TraceEvents int `json:"trace_events,omitempty"`
+	// TraceFile receives every kernel event from the start; empty means none.
+	// The file grows without bound.
+	TraceFile string `json:"trace_file,omitempty"`
 
 	Experiment Experiment `json:"experiment,omitempty"`
 }
@@ -245,6 +249,28 @@
 	}
 }
 
+// Environment returns what the kernel of a process knows that has started at
+// the given time.
+func (s *Settings) Environment(started id.Instant) kernel.Environment {
+	return kernel.Environment{
+		Self: endpoint.Entry{
+			Host:        s.Host,
+			Domain:      s.FailureDomain,
+			Region:      s.Region,
+			Service:     s.Service,
+			Control:     s.ControlAddress,
+			Hop:         s.HopAddress,
+			Incarnation: id.Incarnation(started),
+			Sequence:    1,
+			Started:     started,
+		},
+		Seeds:       s.Seeds,
+		RandomSeed:  uint64(started),
+		HasPlatform: s.PlatformURL != "",
+		Options:     s.Options(),
+	}
+}
+
 // DrainDeadline returns when a graceful shutdown that starts at now ends at
 // the latest.
 func (s *Settings) DrainDeadline(now time.Time) time.Time {
