Replay traces with the operators' client

Cause: a recorded trace could not be looked at or compared. Ruled out: a replay without the header's environment unless settings are given, because readers and timers depend on it. Before: trace record only. Conclusion: an operator can check a trace without a daemon.

--- a/client/client.go
+++ b/client/client.go
@@ -38,7 +38,7 @@
 
 const exitCodes = `Exit codes:
   0  the command did what it was asked
-  1  the check found faults in the documents
+  1  the check found faults in the documents, or a replay missed its stated outcome
   2  wrong usage, or a local file that cannot be read or written
   3  the daemon gave no answer or refused to answer
   4  the awaited version is not in force on every host (status --wait-for)`
--- /dev/null
+++ b/client/replay.go
@@ -0,0 +1,137 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	_ "marjoramsaddle/core/census" // registers its plug-in
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
+	_ "marjoramsaddle/core/member"  // registers its plug-in
+	_ "marjoramsaddle/core/overlay" // registers its plug-in
+	_ "marjoramsaddle/core/reader"  // registers its plug-in
+	_ "marjoramsaddle/core/spread"  // registers its plug-in
+	"marjoramsaddle/core/trace"
+	"marjoramsaddle/io/settings"
+)
+
+// replayFlags are the flags of trace replay.
+type replayFlags struct {
+	settings string
+	expect   string
+}
+
+func newTraceReplay() *cobra.Command {
+	var flags replayFlags
+	cmd := &cobra.Command{
+		Use:   "replay FILE",
+		Short: "Replay a trace and show what the daemon did",
+		Long: "Replay a trace, which may be compressed with gzip, in a new kernel, and show when\n" +
+			"versions came into force or were refused and when the readiness changed.\n\n" + exitCodes,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error { return flags.replay(cmd, args[0]) },
+	}
+	cmd.Flags().StringVar(&flags.settings, "settings", "", "settings of the daemon, in place of the trace's own")
+	cmd.Flags().StringVar(&flags.expect, "expect", "", "file with the stated outcome; a difference gives exit code 1")
+	return cmd
+}
+
+func (f *replayFlags) replay(cmd *cobra.Command, name string) error {
+	recorded, err := readTrace(name)
+	if err != nil {
+		return err
+	}
+	env, err := f.environment(name, recorded)
+	if err != nil {
+		return err
+	}
+	outcome := trace.Observe(env, recorded.Records)
+	writeReplay(cmd.OutOrStdout(), recorded, outcome)
+	return f.compare(cmd.OutOrStdout(), outcome)
+}
+
+func readTrace(name string) (*trace.Trace, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, unreadable(err)
+	}
+	defer func() { _ = file.Close() }()
+	recorded, err := trace.Read(file)
+	if err != nil {
+		return nil, &Error{Code: Usage, Problem: name + ": " + err.Error(), Remedy: "name a file of trace record or of trace_file"}
+	}
+	return recorded, nil
+}
+
+// environment returns the environment of the trace's header, or of the
+// settings.
+func (f *replayFlags) environment(name string, recorded *trace.Trace) (kernel.Environment, error) {
+	if f.settings == "" && recorded.Header != nil {
+		return recorded.Header.Environment, nil
+	}
+	if f.settings == "" {
+		return kernel.Environment{}, &Error{Code: Usage, Problem: name + " has no header", Remedy: "give the daemon's --settings"}
+	}
+	s, err := settings.Load(f.settings)
+	if err != nil {
+		return kernel.Environment{}, &Error{Code: Usage, Problem: err.Error(), Remedy: "give the daemon's settings"}
+	}
+	return s.Environment(started(recorded)), nil
+}
+
+// started returns when the recorded process started, as far as the trace tells.
+func started(recorded *trace.Trace) id.Instant {
+	switch {
+	case recorded.Header != nil:
+		return id.Instant(recorded.Header.Environment.Self.Incarnation)
+	case len(recorded.Records) > 0:
+		return recorded.Records[0].At
+	default:
+		return 0
+	}
+}
+
+func writeReplay(w io.Writer, recorded *trace.Trace, outcome trace.Outcome) {
+	if recorded.Header != nil && recorded.Header.Dropped > 0 {
+		_, _ = fmt.Fprintf(w, "The trace lacks the first %d events: what they did is missing below. Raise trace_events or set trace_file.\n", recorded.Header.Dropped)
+	}
+	if recorded.Cut {
+		_, _ = fmt.Fprintln(w, "The last line of the trace is not whole and is left out.")
+	}
+	for _, change := range outcome.Changes {
+		_, _ = fmt.Fprintf(w, "%s  %s\n", change.At.Time().Format(time.RFC3339Nano), change)
+	}
+	for _, name := range slices.Sorted(maps.Keys(outcome.Counters)) {
+		_, _ = fmt.Fprintf(w, "%s: %d\n", name, outcome.Counters[name])
+	}
+}
+
+// compare fails when the stated outcome is not met.
+func (f *replayFlags) compare(w io.Writer, outcome trace.Outcome) error {
+	if f.expect == "" {
+		return nil
+	}
+	data, err := os.ReadFile(f.expect)
+	if err != nil {
+		return unreadable(err)
+	}
+	var stated trace.Expectation
+	if err := json.Unmarshal(data, &stated); err != nil {
+		return &Error{Code: Usage, Problem: f.expect + ": " + err.Error(), Remedy: "correct the stated outcome"}
+	}
+	breaches := stated.Check(outcome)
+	for _, breach := range breaches {
+		_, _ = fmt.Fprintln(w, breach)
+	}
+	if len(breaches) == 0 {
+		return nil
+	}
+	return &Error{Code: Faulty, Problem: fmt.Sprintf("the stated outcome is not met in %d points", len(breaches)), Remedy: "see them above"}
+}
--- a/client/trace.go
+++ b/client/trace.go
@@ -10,11 +10,11 @@
 func newTrace() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "trace",
-		Short: "Record the kernel events of a daemon",
+		Short: "Record and replay the kernel events of a daemon",
 		Args:  cobra.NoArgs,
 		RunE:  needCommand,
 	}
-	cmd.AddCommand(newTraceRecord())
+	cmd.AddCommand(newTraceRecord(), newTraceReplay())
 	return cmd
 }
 
