Retry a part whose bytes do not match its hash

Cause: the daemon reported a part under the hash of the bytes it got and not under the hash it had asked for, so the reader took the answer for a part of a replaced manifest, and waited for it without end. Ruled out: a fault in core/reader; its tests feed the hash that was asked for. Conclusion: a wrong part is counted and read again.

--- a/core/kernel/event.go
+++ b/core/kernel/event.go
@@ -44,8 +44,9 @@
 		Consistent bool
 	}
 
-	// PartRead carries a part of a configuration.
+	// PartRead carries what the platform has under the hash of a part.
 	PartRead struct {
+		// Digest is the hash that was asked for; the data may have another.
 		Digest id.Digest
 		Data   []byte
 	}
--- a/daemon/reads.go
+++ b/daemon/reads.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/manifest"
 	"marjoramsaddle/io/platform"
@@ -61,7 +60,7 @@
 		d.readFailed(ctx, kernel.ReadKindPart, err)
 		return
 	}
-	d.emit(kernel.PartRead{Digest: id.DigestOf(value.Data), Data: value.Data})
+	d.emit(kernel.PartRead{Digest: a.Part.SHA256, Data: value.Data})
 }
 
 func (d *Daemon) readHosts(ctx context.Context, a kernel.ReadHosts) {
