Ask neighbours that greet during a resynchronisation

Cause: after a pause of over 3 s the neighbours have ended the links, so the probes went to links that were closing, and nobody asked again on the new ones. A push of the version held, which also answers a probe, did not count. Ruled out: taking the hello as the answer, because it may have been sent before the pause ended. Conclusion: a resumed daemon serves as soon as a neighbour has answered.

--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -146,18 +146,19 @@
 		p.peer(host).holds(version)
 		out.Do(kernel.Count{Name: CountPushOlder})
 	case version == held:
-		p.receiveDuplicate(host, push, out)
+		p.receiveDuplicate(at, host, push, out)
 	default:
 		p.applyPush(at, host, push, out)
 	}
 }
 
-func (p *plugin) receiveDuplicate(host id.Host, push *message.Push, out *kernel.Output) {
+func (p *plugin) receiveDuplicate(at id.Instant, host id.Host, push *message.Push, out *kernel.Output) {
 	if string(push.GetDigest()) != string(p.shared.Held.Digest[:]) {
 		p.conflict(id.Version(push.GetVersion()), string(host), out)
 		return
 	}
 	p.peer(host).holds(p.shared.HeldVersion())
+	p.confirm(at, p.shared.HeldVersion())
 	// A push and the answer to a want may both come from the host that
 	// delivered the version first; its link is not redundant.
 	if host != p.heldFrom {
--- a/core/spread/resync.go
+++ b/core/spread/resync.go
@@ -21,6 +21,7 @@
 	lastTick  id.Instant
 	until     id.Instant
 	confirmed bool
+	probes    int
 }
 
 // noticePause detects a gap between ticks at the first event after it, which
@@ -34,7 +35,7 @@
 		return
 	}
 	p.resync.until = at.Add(resyncLimit)
-	p.resync.confirmed = false
+	p.resync.confirmed, p.resync.probes = false, 0
 	out.Do(kernel.Count{Name: CountResync})
 	p.setReady(kernel.Resyncing, out)
 	p.probe(out)
@@ -43,11 +44,25 @@
 // probe asks neighbours whether they hold a newer version; they answer with a
 // push or with have.
 func (p *plugin) probe(out *kernel.Output) {
-	held := p.shared.HeldVersion()
 	hosts := p.shared.LinkHosts()
 	for _, host := range hosts[:min(resyncProbes, len(hosts))] {
-		p.sendWant(host, held, held, out)
+		p.probeHost(host, out)
+	}
+}
+
+func (p *plugin) probeHost(host id.Host, out *kernel.Output) {
+	held := p.shared.HeldVersion()
+	p.sendWant(host, held, held, out)
+}
+
+// probeGreeted probes a neighbour on a link that opened after the pause. The
+// neighbours have ended the earlier links when the pause was long.
+func (p *plugin) probeGreeted(host id.Host, out *kernel.Output) {
+	if p.shared.Ready != kernel.Resyncing || p.resync.probes >= resyncProbes {
+		return
 	}
+	p.resync.probes++
+	p.probeHost(host, out)
 }
 
 // confirm takes a have as the answer to a probe. Heartbeats do not count: they
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -122,6 +122,7 @@
 	switch body := event.Frame.GetBody().(type) {
 	case *message.Frame_Hello:
 		peer.hello(body.Hello)
+		p.probeGreeted(event.Host, out)
 		p.announceRefused(event.Host, peer, 0, out)
 	case *message.Frame_Heartbeat:
 		peer.heartbeat(body.Heartbeat)
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -64,6 +64,8 @@
 		s.stop(hosts[0])
 	case "link":
 		s.link(hosts[0], hosts[1])
+	case "unlink":
+		s.unlink(hosts[0], hosts[1])
 	case "pause":
 		s.nodes[hosts[0]].paused = true
 	case "resume":
