--- a/daemon/control.go
+++ b/daemon/control.go
@@ -45,6 +45,7 @@
 
 func (d *Daemon) step(event kernel.Event) {
 	at := now()
+	d.steppedAt.Store(int64(at))
 	d.recent.add(at, event)
 	for _, action := range d.kernel.Step(at, event) {
 		d.perform(action)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,6 +71,8 @@
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	table    atomic.Pointer[map[id.Host]endpoint.Entry]
 	ready    atomic.Int32
+	// steppedAt is when the control goroutine last ran, in Unix nanoseconds.
+	steppedAt atomic.Int64
 
 	gate    *admission.Gate
 	chooser *balance.Chooser
--- a/daemon/reads.go
+++ b/daemon/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
@@ -48,7 +49,7 @@
 
 func (d *Daemon) readManifest(ctx context.Context, a kernel.ReadManifest) {
 	value, err := d.platform.Read(ctx, manifest.Key, platform.After(a.After), platform.Consistent(a.Consistent))
-	if err != nil {
+	if err != nil && !waitable(value, err) {
 		d.readFailed(ctx, kernel.ReadKindManifest, err)
 		return
 	}
@@ -66,13 +67,25 @@
 
 func (d *Daemon) readHosts(ctx context.Context, a kernel.ReadHosts) {
 	value, err := d.platform.Read(ctx, manifest.HostPrefix+string(a.Domain), platform.After(a.After))
-	if err != nil {
+	if err != nil && !waitable(value, err) {
 		d.readFailed(ctx, kernel.ReadKindHosts, err)
 		return
 	}
+	if value.Data == nil {
+		value.Data = noHosts
+	}
 	d.emit(kernel.HostListRead{Domain: a.Domain, Index: value.Index, Data: value.Data})
 }
 
+// noHosts is a host list without rows.
+var noHosts = []byte("[]")
+
+// waitable reports whether the key is only not written yet, so that the next
+// read can wait for it in place of asking again and again.
+func waitable(value platform.Value, err error) bool {
+	return errors.Is(err, platform.ErrMissing) && value.Index > 0
+}
+
 // readFailed reports a failure unless the read was ended on purpose.
 func (d *Daemon) readFailed(ctx context.Context, read kernel.Read, err error) {
 	if ctx.Err() == nil {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -42,8 +42,21 @@
 // Host returns the name of this host.
 func (d *Daemon) Host() id.Host { return d.settings.Host }
 
-// Readiness tells whether this daemon serves calls.
-func (d *Daemon) Readiness() kernel.Readiness { return kernel.Readiness(d.ready.Load()) }
+// pauseLimit is how long the control goroutine may be silent while the daemon
+// serves. The kernel takes the same gap between two ticks for a pause.
+const pauseLimit = 2 * time.Second
+
+// Readiness tells whether this daemon serves calls. After a pause of the
+// process, goroutines of traffic may run before the control goroutine does, so
+// they look at the time of its last step themselves.
+func (d *Daemon) Readiness() kernel.Readiness {
+	ready := kernel.Readiness(d.ready.Load())
+	silent := now().Sub(id.Instant(d.steppedAt.Load()))
+	if ready == kernel.Serving && silent > pauseLimit {
+		return kernel.Resyncing
+	}
+	return ready
+}
 
 // Drain starts the graceful shutdown.
 func (d *Daemon) Drain(context.Context) error {
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -36,6 +36,9 @@
 	maxAnswerBytes = 2 << 20
 )
 
+// indexHeader holds the index of an answer, also for a missing key.
+const indexHeader = "X-Consul-Index"
+
 // ErrMissing means that the platform has no such key.
 var ErrMissing = errors.New("platform: key is missing: publish it")
 
@@ -91,8 +94,8 @@
 	}
 }
 
-// Read reads one key. It returns ErrMissing, a *StatusError, or an error of
-// the network.
+// Read reads one key. It returns ErrMissing with the index to wait from, a
+// *StatusError, or an error of the network.
 func (c *Client) Read(ctx context.Context, key string, options ...Option) (Value, error) {
 	query := url.Values{}
 	for _, option := range options {
@@ -104,34 +107,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	body, err := c.get(ctx, key, query)
+	body, index, err := c.get(ctx, key, query)
 	if err != nil {
-		return Value{}, err
+		return Value{Index: index}, err
 	}
 	return decode(key, body)
 }
 
-func (c *Client) get(ctx context.Context, key string, query url.Values) ([]byte, error) {
+// get returns the body and the index of the answer.
+func (c *Client) get(ctx context.Context, key string, query url.Values) ([]byte, id.Version, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/kv/"+key+"?"+query.Encode(), nil)
 	if err != nil {
-		return nil, fmt.Errorf("platform: %w", err)
+		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("platform: %w", err)
+		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, fmt.Errorf("platform: %w", err)
+		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
+	index, _ := strconv.ParseUint(response.Header.Get(indexHeader), 10, 64)
 	switch response.StatusCode {
 	case http.StatusOK:
-		return body, nil
+		return body, id.Version(index), nil
 	case http.StatusNotFound:
-		return nil, ErrMissing
+		return nil, id.Version(index), ErrMissing
 	default:
-		return nil, &StatusError{Status: response.StatusCode, Key: key}
+		return nil, 0, &StatusError{Status: response.StatusCode, Key: key}
 	}
 }
 
