Record the loss of both readers where a third daemon remains

Cause: with two daemons in a failure domain both are readers, so no trace was of a daemon that does not read. Before: killing both readers killed the domain. After: kill_readers_of_nine kills the two readers that core/topology names; the third host of the domain goes on. The third host put two versions in force unwitnessed, after 400 ms, because only its sender and its dead links were asked to announce what they hold.

--- a/bench/record/record.go
+++ b/bench/record/record.go
@@ -1,5 +1,5 @@
-// Package record runs a fleet of six daemons in three failure domains through a
-// scripted fault, and keeps the trace of each daemon with its stated outcome.
+// Package record runs a fleet of six or nine daemons in three failure domains
+// through a scripted fault, and keeps the trace of each daemon with its stated outcome.
 // The outcome comes from the script, not from what the daemons did.
 //
 // # Usage
@@ -20,7 +20,9 @@
 
 	"marjoramsaddle/bench/fleet"
 	"marjoramsaddle/bench/rig"
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/topology"
 	"marjoramsaddle/core/trace"
 	"marjoramsaddle/io/settings"
 	"marjoramsaddle/standin/authority"
@@ -28,7 +30,9 @@
 )
 
 const (
-	daemons = 6
+	defaultDaemons = 6
+	// readersPerDomain is the number of readers that core/topology chooses.
+	readersPerDomain = 2
 	// platformPorts are taken before the ports of the fleet.
 	platformPorts = 2
 	daemonProgram = "marjoramsaddled"
@@ -44,7 +48,7 @@
 	Scenario string
 	// Out receives a folder with the traces.
 	Out string
-	// FirstPort is the first of 38 ports on loopback.
+	// FirstPort is the first of 56 ports on loopback.
 	FirstPort int
 }
 
@@ -90,6 +94,10 @@
 }
 
 func start(ctx context.Context, options Options, folder string) (*run, error) {
+	daemons := defaultDaemons
+	if size, ok := sizes[options.Scenario]; ok {
+		daemons = size
+	}
 	layout, err := fleet.New(fleet.Options{
 		Daemons: daemons, Operator: fleet.Clouterie, FirstPort: options.FirstPort + platformPorts,
 	})
@@ -140,6 +148,15 @@
 	return hosts
 }
 
+// readers returns the readers of a failure domain while all hosts live.
+func (r *run) readers(domain id.Domain) []id.Host {
+	table := endpoint.NewTable()
+	for _, host := range r.layout.Hosts {
+		table.Merge(endpoint.Entry{Host: host.Name, Domain: host.Domain})
+	}
+	return topology.Readers(table, domain, readersPerDomain)
+}
+
 func (r *run) step(format string, args ...any) {
 	at := time.Now().UTC().Format(time.RFC3339Nano)
 	r.steps = append(r.steps, at+"  "+fmt.Sprintf(format, args...))
--- a/bench/record/scenario.go
+++ b/bench/record/scenario.go
@@ -16,24 +16,29 @@
 
 // scenarios are the scripted faults by name. Each starts after prepare.
 var scenarios = map[string]func(context.Context, *run) error{
-	"kill_one_stale":    killStale(func(r *run) []id.Host { return r.hosts()[1:2] }),
-	"kill_domain_stale": killStale(func(r *run) []id.Host { return r.hosts(r.layout.Domains[1]) }),
-	"kill_readers":      prepared(killReaders),
-	"kill_fleet":        prepared(killFleet),
-	"pause":             prepared(pause),
-	"platform_down":     outage(platform.Faults{Outage: platform.OutageRefuse}),
-	"platform_limit":    outage(platform.Faults{OverLimit: true}),
-	"platform_slow":     prepared(platformSlow),
-	"two_operators":     prepared(twoOperators),
-	"bad_dangling":      bad(dangling, true),
-	"bad_format":        bad(unknownFormat, true),
-	"bad_hash":          bad(wrongHash, false),
-	"bad_missing":       bad(partMissing, false),
-	"part_repaired":     prepared(partRepaired),
-	"torn":              prepared(torn),
-	"two_faults":        staleAndBad,
+	"kill_one_stale":       killStale(func(r *run) []id.Host { return r.hosts()[1:2] }),
+	"kill_domain_stale":    killStale(func(r *run) []id.Host { return r.hosts(r.layout.Domains[1]) }),
+	"kill_readers":         prepared(killReaders),
+	"kill_readers_of_nine": prepared(killReaders),
+	"kill_fleet":           prepared(killFleet),
+	"pause":                prepared(pause),
+	"platform_down":        outage(platform.Faults{Outage: platform.OutageRefuse}),
+	"platform_limit":       outage(platform.Faults{OverLimit: true}),
+	"platform_slow":        prepared(platformSlow),
+	"two_operators":        prepared(twoOperators),
+	"bad_dangling":         bad(dangling, true),
+	"bad_format":           bad(unknownFormat, true),
+	"bad_hash":             bad(wrongHash, false),
+	"bad_missing":          bad(partMissing, false),
+	"part_repaired":        prepared(partRepaired),
+	"torn":                 prepared(torn),
+	"two_faults":           staleAndBad,
 }
 
+// sizes are the numbers of daemons where they differ. With nine, each failure
+// domain has a daemon that is no reader.
+var sizes = map[string]int{"kill_readers_of_nine": 9}
+
 // prepare brings a first and a second version into force on the whole fleet and
 // returns a time at which the platform had the first.
 func (r *run) prepare(ctx context.Context) (time.Time, error) {
@@ -156,7 +161,7 @@
 }
 
 func killReaders(ctx context.Context, r *run) error {
-	hosts := r.hosts(r.layout.Domains[0])
+	hosts := r.readers(r.layout.Domains[0])
 	r.kill(hosts...)
 	if err := r.change(ctx); err != nil {
 		return err
