Let an answer name the probe after a pause

Cause: after a pause any have or push counted as the answer to the probe, also one that was sent before the pause and waited in a socket. Ruled out: a shorter wait or the order of arrival; neither tells when a message was sent. The peers' clocks are not in the messages. Conclusion: Want, Have and Push carry a probe number. A neighbour of an older build does not repeat it; next to such neighbours alone the limit of 1 s ends the resynchronisation.

--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -36,17 +36,18 @@
 // them for the full snapshot.
 func (p *plugin) offer(host id.Host, peer *peer, out *kernel.Output) {
 	if p.env.Options.Strategy == kernel.Full {
-		p.sendPush(host, nil, out)
+		p.sendPush(host, nil, 0, out)
 		return
 	}
 	if base := p.history.find(peer.held); base != nil {
-		p.sendPush(host, base, out)
+		p.sendPush(host, base, 0, out)
 		return
 	}
 	p.sendHave(host, out)
 }
 
-func (p *plugin) sendPush(host id.Host, base *snapshot.Snapshot, out *kernel.Output) {
+// sendPush sends the version held. The probe is that of the want it answers.
+func (p *plugin) sendPush(host id.Host, base *snapshot.Snapshot, probe uint64, out *kernel.Output) {
 	push, err := p.encode(base)
 	if err != nil {
 		log(out, "The delta could not be encoded: "+err.Error())
@@ -59,6 +60,13 @@
 	out.Do(kernel.Count{Name: CountPush, Label: label})
 	// A push tells the peer as much as have does.
 	p.peer(host).haveSent = p.shared.HeldVersion()
+	if probe != 0 {
+		// The encoded push is shared with other receivers.
+		push = &message.Push{
+			Version: push.GetVersion(), Digest: push.GetDigest(), Base: push.GetBase(),
+			Payload: push.GetPayload(), Probe: probe,
+		}
+	}
 	p.send(host, &message.Frame{Body: &message.Frame_Push{Push: push}}, out)
 }
 
@@ -104,13 +112,13 @@
 		return
 	}
 	peer.haveSent = held.Version
-	p.sendHaveAgain(host, out)
+	p.sendHaveAgain(host, 0, out)
 }
 
-func (p *plugin) sendHaveAgain(host id.Host, out *kernel.Output) {
+func (p *plugin) sendHaveAgain(host id.Host, probe uint64, out *kernel.Output) {
 	held := p.shared.Held
 	p.send(host, &message.Frame{Body: &message.Frame_Have{Have: &message.Have{
-		Version: uint64(held.Version), DigestPrefix: digestPrefix(held.Digest),
+		Version: uint64(held.Version), DigestPrefix: digestPrefix(held.Digest), Probe: probe,
 	}}}, out)
 }
 
@@ -158,7 +166,7 @@
 		return
 	}
 	p.peer(host).holds(p.shared.HeldVersion())
-	p.confirm(at, p.shared.HeldVersion())
+	p.confirm(at, p.shared.HeldVersion(), push.GetProbe())
 	// A push and the answer to a want may both come from the host that
 	// delivered the version first; its link is not redundant.
 	if host != p.heldFrom {
@@ -183,6 +191,7 @@
 	if err == nil {
 		p.peer(host).holds(result.Version)
 		p.adopt(at, result, host, out)
+		p.confirm(at, result.Version, push.GetProbe())
 		return
 	}
 	out.Do(kernel.Count{Name: CountPushInvalid})
@@ -221,5 +230,5 @@
 	if held != nil && version >= held.Version {
 		delete(p.transfer, host)
 	}
-	p.confirm(at, version)
+	p.confirm(at, version, have.GetProbe())
 }
--- a/core/spread/repair.go
+++ b/core/spread/repair.go
@@ -131,7 +131,7 @@
 
 func (p *plugin) sendWant(host id.Host, base, version id.Version, out *kernel.Output) {
 	p.send(host, &message.Frame{Body: &message.Frame_Want{Want: &message.Want{
-		Base: uint64(base), Version: uint64(version),
+		Base: uint64(base), Version: uint64(version), Probe: p.resync.probe(p.shared.Ready),
 	}}}, out)
 }
 
@@ -144,20 +144,20 @@
 	peer := p.peer(host)
 	if id.Version(wanted.GetBase()) >= held.Version {
 		peer.holds(id.Version(wanted.GetBase()))
-		p.sendHaveAgain(host, out)
+		p.sendHaveAgain(host, wanted.GetProbe(), out)
 		return
 	}
 	peer.eager = true
 	base := p.history.find(id.Version(wanted.GetBase()))
 	if base != nil && p.env.Options.Strategy != kernel.Full {
-		p.sendPush(host, base, out)
+		p.sendPush(host, base, wanted.GetProbe(), out)
 		return
 	}
 	if !p.transfer.begin(at, host) {
 		p.sendBusy(host, out)
 		return
 	}
-	p.sendPush(host, nil, out)
+	p.sendPush(host, nil, wanted.GetProbe(), out)
 }
 
 func (p *plugin) sendBusy(host id.Host, out *kernel.Output) {
--- a/core/spread/resync.go
+++ b/core/spread/resync.go
@@ -22,6 +22,17 @@
 	until     id.Instant
 	confirmed bool
 	probes    int
+	// number numbers the pauses and is what the probes carry.
+	number uint64
+}
+
+// probe returns what a want carries: the number of the pause while the host
+// resynchronises, or zero.
+func (r *resync) probe(ready kernel.Readiness) uint64 {
+	if ready != kernel.Resyncing {
+		return 0
+	}
+	return r.number
 }
 
 // noticePause detects a gap between ticks at the first event after it, which
@@ -36,6 +47,7 @@
 	}
 	p.resync.until = at.Add(resyncLimit)
 	p.resync.confirmed, p.resync.probes = false, 0
+	p.resync.number++
 	out.Do(kernel.Count{Name: CountResync})
 	p.setReady(kernel.Resyncing, out)
 	p.probe(out)
@@ -65,10 +77,11 @@
 	p.probeHost(host, out)
 }
 
-// confirm takes a have as the answer to a probe. Heartbeats do not count: they
-// may have been sent before the pause ended.
-func (p *plugin) confirm(at id.Instant, version id.Version) {
-	if at.Before(p.resync.until) && version <= p.shared.HeldVersion() {
+// confirm takes an answer to a probe. Other messages do not count: they may have
+// been sent before the pause ended.
+func (p *plugin) confirm(at id.Instant, version id.Version, probe uint64) {
+	answers := probe != 0 && probe == p.resync.number
+	if answers && at.Before(p.resync.until) && version <= p.shared.HeldVersion() {
 		p.resync.confirmed = true
 	}
 }
--- a/core/spread/version.go
+++ b/core/spread/version.go
@@ -68,9 +68,6 @@
 	p.heldFrom = from
 	clear(p.encoded)
 	p.want = want{}
-	if from != "" {
-		p.confirm(at, adopted.Version)
-	}
 	if !p.poll() {
 		p.push(from, out)
 		p.announce(from, out)
