Drive the call path with the load experiment

Cause: load ran only calls straight to the backend servers, so nothing measured the daemons. Ruled out: a separate program for the mesh; the faults, the verification and the comparison with the journals are the same with and without daemons. Before: every policy but direct was refused. Faults may be combined with commas. Direct lookups are sent in the same run as the baseline, which goes to standard error.

--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -53,19 +53,25 @@
 // the scheduled arrival.
 func (c *Caller) Do(ctx context.Context, call Call, arrival time.Time) Record {
 	record := Record{Call: call}
+	c.do(ctx, &record, arrival)
+	record.Ended = time.Now()
+	return record
+}
+
+func (c *Caller) do(ctx context.Context, record *Record, arrival time.Time) {
+	call := record.Call
 	deadline := arrival.Add(call.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	response, err := c.send(ctx, &record, deadline)
+	response, err := c.send(ctx, record, deadline)
 	if err != nil {
 		record.Verdict, record.Detail = Unknown, withoutURL(err).Error()
-		return record
+		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerSize))
 	record.Latency = time.Since(arrival)
-	judge(&record, response, body, err)
-	return record
+	judge(record, response, body, err)
 }
 
 // send sends the call to the next address, and to others while nothing of it
@@ -73,7 +79,8 @@
 func (c *Caller) send(ctx context.Context, record *Record, deadline time.Time) (*http.Response, error) {
 	for {
 		sent := &sentBytes{}
-		request, err := c.request(sent.trace(ctx), record.Call, deadline)
+		record.Address = c.addresses[(c.next.Add(1)-1)%uint64(len(c.addresses))]
+		request, err := c.request(sent.trace(ctx), record, deadline)
 		if err != nil {
 			return nil, err
 		}
@@ -95,9 +102,9 @@
 	return err
 }
 
-func (c *Caller) request(ctx context.Context, call Call, deadline time.Time) (*http.Request, error) {
-	address := c.addresses[(c.next.Add(1)-1)%uint64(len(c.addresses))]
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, nil)
+func (c *Caller) request(ctx context.Context, record *Record, deadline time.Time) (*http.Request, error) {
+	call := record.Call
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+record.Address+call.Path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("build call: %w", err)
 	}
--- a/bench/load/compare.go
+++ b/bench/load/compare.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"marjoramsaddle/bench/fleet"
+	"marjoramsaddle/core/id"
 	"marjoramsaddle/standin/backend"
 )
 
@@ -43,7 +45,7 @@
 // Compare compares records with the journals of all backend servers that lived
 // during the run.
 func Compare(records []Record, journals []backend.Journal) Comparison {
-	index := newIndex(journals)
+	index := newIndex(records, journals)
 	comparison := Comparison{
 		Doubled:           index.doubled(),
 		ExtraAttempts:     index.extraAttempts(),
@@ -62,10 +64,19 @@
 	runs   map[string]int
 }
 
-func newIndex(journals []backend.Journal) journalIndex {
+// newIndex leaves out calls that are not among the records, such as those of the
+// baseline.
+func newIndex(records []Record, journals []backend.Journal) journalIndex {
+	recorded := make(map[string]bool, len(records))
+	for _, record := range records {
+		recorded[record.Call.ID] = true
+	}
 	index := journalIndex{byCall: map[string][]attempt{}, runs: map[string]int{}}
 	for _, journal := range journals {
 		for _, row := range journal.Rows {
+			if !recorded[row.CallID] {
+				continue
+			}
 			index.byCall[row.CallID] = append(index.byCall[row.CallID], attempt{row, journal.DrainUnixNs})
 			if row.Ran && row.IdempotencyKey != "" {
 				index.runs[row.IdempotencyKey]++
@@ -161,3 +172,23 @@
 	}
 	return false
 }
+
+// cutOffAtEntry counts the calls without a whole answer that came to a daemon
+// after it began to leave and did not run during the drain of a backend server.
+func cutOffAtEntry(records []Record, left map[id.Host]int64, layout *fleet.Layout) int {
+	leaving := map[string]int64{}
+	for _, host := range layout.Hosts {
+		if at, ok := left[host.Name]; ok {
+			leaving[host.Caller.String()] = at
+		}
+	}
+	count := 0
+	for _, record := range records {
+		at, ok := leaving[record.Address]
+		cut := record.Verdict == Unknown || record.Verdict == Truncated
+		if ok && cut && record.Ended.UnixNano() >= at {
+			count++
+		}
+	}
+	return count
+}
--- a/bench/load/fault_string.go
+++ b/bench/load/fault_string.go
@@ -9,18 +9,29 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[NoFault-0]
-	_ = x[BackendStop-1]
-	_ = x[BackendKill-2]
-	_ = x[BackendPause-3]
-	_ = x[BackendSlow-4]
-	_ = x[BackendStall-5]
-	_ = x[BackendGarbage-6]
-	_ = x[faultCount-7]
+	_ = x[KillDaemonEntry-1]
+	_ = x[KillDaemonTarget-2]
+	_ = x[StopDaemon-3]
+	_ = x[RestartDaemon-4]
+	_ = x[PauseDaemon-5]
+	_ = x[KillBackend-6]
+	_ = x[StopBackend-7]
+	_ = x[RestartBackend-8]
+	_ = x[PauseBackend-9]
+	_ = x[SlowBackend-10]
+	_ = x[StallBackend-11]
+	_ = x[GarbageBackend-12]
+	_ = x[CutMidAnswer-13]
+	_ = x[LeavingListedLive-14]
+	_ = x[LyingHealth-15]
+	_ = x[Overload-16]
+	_ = x[RetryStorm-17]
+	_ = x[faultCount-18]
 }
 
-const _Fault_name = "nonebackend_stopbackend_killbackend_pausebackend_slowbackend_stallbackend_garbageend"
+const _Fault_name = "nonekill_daemon_entrykill_daemon_targetstop_daemonrestart_daemonpause_daemonkill_backendstop_backendrestart_backendpause_backendslow_backendstall_backendgarbage_backendcut_mid_answerleaving_listed_livelying_healthoverloadretry_stormend"
 
-var _Fault_index = [...]uint8{0, 4, 16, 28, 41, 53, 66, 81, 84}
+var _Fault_index = [...]uint8{0, 4, 21, 39, 50, 64, 76, 88, 100, 115, 128, 140, 153, 168, 182, 201, 213, 221, 232, 235}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/bench/load/mesh.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"marjoramsaddle/bench/fleet"
+	"marjoramsaddle/bench/rig"
+	"marjoramsaddle/core/balance"
+	"marjoramsaddle/io/settings"
+	"marjoramsaddle/standin/authority"
+)
+
+// The policies. PolicyDirect sends calls straight to the backend servers,
+// without daemons; PolicyNoBudget lets retries exceed their budget.
+const (
+	PolicyDirect   = "direct"
+	PolicyNoBudget = "no_budget"
+)
+
+const (
+	serveTimeout  = 20 * time.Second
+	retriesMetric = "marjoramsaddle_retries_total"
+)
+
+// policies returns the names of all policies, the default one first.
+func policies() []string {
+	return []string{
+		balance.LeastLoaded.String(), balance.RoundRobin.String(), balance.Random.String(), PolicyNoBudget, PolicyDirect,
+	}
+}
+
+// PolicyNames returns the names of all policies.
+func PolicyNames() string { return strings.Join(policies(), ", ") }
+
+// startMesh starts a daemon beside each backend server, publishes the fleet's
+// documents and waits until all daemons serve.
+func (e Experiment) startMesh(ctx context.Context, r *rig.Rig, layout *fleet.Layout, dir string) error {
+	issuer, err := authority.New()
+	if err != nil {
+		return err
+	}
+	platform := e.rigOptions(layout, dir).Platform.String()
+	if err := layout.Write(dir, issuer, fleet.DaemonSettings("http://"+platform, e.changeSettings)); err != nil {
+		return err
+	}
+	publisher := fleet.NewPublisher(platform, layout, e.Plan.Seed)
+	if err := publisher.PublishHosts(ctx); err != nil {
+		return err
+	}
+	if _, err := publisher.Publish(ctx); err != nil {
+		return err
+	}
+	for _, host := range layout.Hosts {
+		if _, err := r.StartDaemon(host, dir); err != nil {
+			return err
+		}
+	}
+	return waitServing(ctx, r.Daemons)
+}
+
+func (e Experiment) changeSettings(s *settings.Settings) {
+	s.LogLevel = "warn"
+	s.HopTransport = e.HopTransport
+	switch e.Policy {
+	case "":
+	case PolicyNoBudget:
+		s.Experiment.NoRetryBudget = true
+	default:
+		s.Experiment.Balance = e.Policy
+	}
+}
+
+func waitServing(ctx context.Context, daemons []*rig.Daemon) error {
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	for _, daemon := range daemons {
+		if err := daemon.Process.WaitReady(ctx, daemon.Serving()); err != nil {
+			return fmt.Errorf("daemon of %s: %w", daemon.Host.Name, err)
+		}
+	}
+	return nil
+}
+
+// countRetries adds up the repeated attempts of all daemons that run. Those of
+// a daemon that was ended are not known.
+func countRetries(ctx context.Context, daemons []*rig.Daemon) int {
+	total := 0
+	for _, daemon := range daemons {
+		select {
+		case <-daemon.Process.Ended():
+		default:
+			count, err := readCounter(ctx, "http://"+daemon.Host.Operator.String()+"/metrics", retriesMetric)
+			if err == nil {
+				total += count
+			}
+		}
+	}
+	return total
+}
+
+// readCounter adds up all series of a counter.
+func readCounter(ctx context.Context, url, name string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	total := 0.0
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) != 2 || !strings.HasPrefix(fields[0], name+"{") {
+			continue
+		}
+		value, err := strconv.ParseFloat(fields[1], 64)
+		if err != nil {
+			return 0, err
+		}
+		total += value
+	}
+	return int(total), lines.Err()
+}
--- a/bench/load/record.go
+++ b/bench/load/record.go
@@ -27,6 +27,9 @@
 	Reason  string // of a refusal
 	Detail  string // of a verdict other than OK
 	Latency time.Duration
+	// Address is where the last attempt went, and Ended when its end was seen.
+	Address string
+	Ended   time.Time
 	// Resent counts addresses to which nothing of the call was sent.
 	Resent int
 }
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -40,6 +40,7 @@
 	UnknownDetails         map[string]int `json:"-"`
 	Resent                 int            `json:"-"`
 	WithoutAddedLatency    int            `json:"-"` // answered calls without exactly one finished row
+	Baseline               Added          `json:"-"` // of direct calls in the same run
 }
 
 // NewReport sums up a run. The capacity is in calls per second; 0 stands for a
@@ -54,15 +55,12 @@
 		Refusals:               map[string]int{},
 		UnknownDetails:         map[string]int{},
 	}
-	added := hdrhistogram.New(1, histogramMaxMicros, histogramFigures)
 	for _, record := range records {
 		report.count(record)
-		if record.Verdict == OK {
-			report.addLatency(added, record, comparison.ServiceTimes)
-		}
 	}
-	report.AddedMsP50 = float64(added.ValueAtQuantile(p50)) / microsPerMillisecond
-	report.AddedMsP99 = float64(added.ValueAtQuantile(p99)) / microsPerMillisecond
+	added := comparison.added(records)
+	report.AddedMsP50, report.AddedMsP99 = added.MsP50, added.MsP99
+	report.WithoutAddedLatency = added.Without
 	report.shares(comparison, capacity, plan)
 	return report
 }
@@ -85,15 +83,32 @@
 	}
 }
 
-func (r *Report) addLatency(added *hdrhistogram.Histogram, record Record, services map[string]time.Duration) {
-	service, ok := services[record.Call.ID]
-	if !ok {
-		r.WithoutAddedLatency++
-		return
+// Added is the latency that is added to the time at the backend server.
+type Added struct {
+	MsP50, MsP99 float64
+	// Without counts answered calls without exactly one finished row.
+	Without int
+}
+
+func (c Comparison) added(records []Record) Added {
+	histogram := hdrhistogram.New(1, histogramMaxMicros, histogramFigures)
+	var added Added
+	for _, record := range records {
+		if record.Verdict != OK {
+			continue
+		}
+		service, ok := c.ServiceTimes[record.Call.ID]
+		if !ok {
+			added.Without++
+			continue
+		}
+		micros := max((record.Latency - service).Microseconds(), 0)
+		// The value is within the histogram's range, so recording can't fail.
+		_ = histogram.RecordValue(min(micros, histogramMaxMicros))
 	}
-	micros := max((record.Latency - service).Microseconds(), 0)
-	// The value is within the histogram's range, so recording can't fail.
-	_ = added.RecordValue(min(micros, histogramMaxMicros))
+	added.MsP50 = float64(histogram.ValueAtQuantile(p50)) / microsPerMillisecond
+	added.MsP99 = float64(histogram.ValueAtQuantile(p99)) / microsPerMillisecond
+	return added
 }
 
 func (r *Report) shares(comparison Comparison, capacity float64, plan Plan) {
--- a/bench/rig/rig.go
+++ b/bench/rig/rig.go
@@ -34,6 +34,7 @@
 const (
 	platformProgram = "standin-platform"
 	backendProgram  = "standin-backend"
+	daemonProgram   = "marjoramsaddled"
 	logMode         = 0o600
 	readyTimeout    = 30 * time.Second
 )
@@ -63,9 +64,11 @@
 type Rig struct {
 	Platform *process.Process
 	Backends []*Backend
-	options  Options
-	logs     []*os.File
-	spawned  []*process.Process
+	// Daemons are the daemons that StartDaemon started, in this order.
+	Daemons []*Daemon
+	options Options
+	logs    []*os.File
+	spawned []*process.Process
 }
 
 // Start starts all stand-ins and waits until they are ready. It leaves none
@@ -100,7 +103,8 @@
 }
 
 func (r *Rig) startBackend(host fleet.Host) error {
-	journal := filepath.Join(r.options.Folder, string(host.Name)+".journal")
+	// A restarted backend server must not overwrite the journal of its predecessor.
+	journal := filepath.Join(r.options.Folder, fmt.Sprintf("%s-%d.journal", host.Name, len(r.Backends)))
 	started, err := r.Spawn(backendProgram, string(host.Name),
 		"--name", string(host.Name),
 		"--listen", host.Backend.String(),
@@ -119,6 +123,34 @@
 	return nil
 }
 
+// RestartBackend starts the backend server of a host again, after its process
+// has ended. The new one is the last of Backends.
+func (r *Rig) RestartBackend(host fleet.Host) error { return r.startBackend(host) }
+
+// Daemon is the daemon of a host.
+type Daemon struct {
+	Host    fleet.Host
+	Process *process.Process
+}
+
+// StartDaemon starts the daemon of a host with the settings in the host's
+// folder under dir. It does not wait until the daemon serves.
+func (r *Rig) StartDaemon(host fleet.Host, dir string) (*Daemon, error) {
+	files := fleet.FilesOf(dir, host)
+	started, err := r.Spawn(daemonProgram, "daemon-"+string(host.Name), "run", "--settings", files.Settings)
+	if err != nil {
+		return nil, err
+	}
+	daemon := &Daemon{Host: host, Process: started}
+	r.Daemons = append(r.Daemons, daemon)
+	return daemon, nil
+}
+
+// Serving returns a probe that succeeds once the daemon serves calls.
+func (d *Daemon) Serving() func(context.Context) error {
+	return process.HTTPReady("http://" + d.Host.Operator.String() + "/v1/health")
+}
+
 // Spawn starts a program of this repository with a log file of its own. The rig
 // stops it with the others.
 func (r *Rig) Spawn(program, name string, args ...string) (*process.Process, error) {
@@ -159,6 +191,11 @@
 	return post(ctx, "http://"+b.Host.BackendControl.String()+"/faults", faults)
 }
 
+// Drain lets a backend server announce that it leaves. It goes on running.
+func (b *Backend) Drain(ctx context.Context) error {
+	return post(ctx, "http://"+b.Host.BackendControl.String()+"/drain", struct{}{})
+}
+
 // SetPlatformFaults replaces the faults of the platform.
 func (r *Rig) SetPlatformFaults(ctx context.Context, faults platform.Faults) error {
 	return post(ctx, "http://"+r.options.PlatformControl.String()+"/faults", faults)
@@ -195,7 +232,7 @@
 		return fmt.Errorf("set faults: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode/100 != 2 {
 		text, _ := io.ReadAll(response.Body)
 		return fmt.Errorf("set faults: %s: %s", response.Status, bytes.TrimSpace(text))
 	}
--- a/cmd/marjoramsaddle-bench/load.go
+++ b/cmd/marjoramsaddle-bench/load.go
@@ -17,14 +17,14 @@
 
 func loadCommand() *cobra.Command {
 	var experiment load.Experiment
-	var fault string
+	var faults string
 	cmd := &cobra.Command{
 		Use:   "load",
 		Short: "Send a workload and verify each answer",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var err error
-			if experiment.Fault, err = load.ParseFault(fault); err != nil {
+			if experiment.Faults, err = load.ParseFaults(faults); err != nil {
 				return err
 			}
 			return runLoad(cmd, experiment)
@@ -35,8 +35,9 @@
 	flags.Float64Var(&experiment.Plan.Rate, "rate", defaultRate, "calls per second")
 	flags.DurationVar(&experiment.Plan.Duration, "duration", defaultDuration, "length of the run")
 	flags.Uint64Var(&experiment.Plan.Seed, "seed", 1, "seed of the calls and their arrivals")
-	flags.StringVar(&experiment.Policy, "policy", "", "direct calls backend servers without daemons; empty is the daemons' default")
-	flags.StringVar(&fault, "fault", "", "one of "+load.FaultNames())
+	flags.StringVar(&experiment.Policy, "policy", "", "one of "+load.PolicyNames()+"; empty is the daemons' default")
+	flags.StringVar(&faults, "fault", "", "one or more of "+load.FaultNames()+", separated by commas")
+	flags.StringVar(&experiment.HopTransport, "hop-transport", "", "http2 or http3; empty is the daemons' default")
 	flags.DurationVar(&experiment.ServiceTime, "service-time", defaultServiceTime, "time that a call takes at a backend server")
 	flags.IntVar(&experiment.FirstPort, "first-port", defaultFirstPort, "first of the ports on loopback")
 	addOutput(cmd)
@@ -57,5 +58,8 @@
 	if report.Resent > 0 {
 		cmd.PrintErrf("load: %d calls went to another address, as nothing of them had been sent\n", report.Resent)
 	}
+	if baseline := report.Baseline; baseline.MsP99 > 0 {
+		cmd.PrintErrf("load: direct calls in this run: added_ms_p50 %.3f, added_ms_p99 %.3f\n", baseline.MsP50, baseline.MsP99)
+	}
 	return printJSON(cmd, report)
 }
--- a/cmd/marjoramsaddle-bench/main_test.go
+++ b/cmd/marjoramsaddle-bench/main_test.go
@@ -44,10 +44,10 @@
 		sees  func(load.Report) bool
 	}{
 		{"none", func(r load.Report) bool { return r.OK == r.Calls && r.WrongAnswers == 0 }},
-		{"backend_kill", func(r load.Report) bool { return r.Resent > 0 && r.WrongAnswers == 0 && r.Truncated == 0 }},
-		{"backend_stop", func(r load.Report) bool { return r.Resent > 0 && r.LostInStop == 0 && r.WrongAnswers == 0 }},
-		{"backend_stall", func(r load.Report) bool { return r.UnknownResult > 0 && r.Truncated == 0 }},
-		{"backend_garbage", func(r load.Report) bool { return r.WrongAnswers > 0 }},
+		{"kill_backend", func(r load.Report) bool { return r.Resent > 0 && r.WrongAnswers == 0 && r.Truncated == 0 }},
+		{"stop_backend", func(r load.Report) bool { return r.Resent > 0 && r.LostInStop == 0 && r.WrongAnswers == 0 }},
+		{"stall_backend", func(r load.Report) bool { return r.UnknownResult > 0 && r.Truncated == 0 }},
+		{"garbage_backend", func(r load.Report) bool { return r.WrongAnswers > 0 }},
 	}
 	for _, c := range cases {
 		t.Run(c.fault, func(t *testing.T) {
