Bind answers of the backend server to the id of their call

Cause: io/backend removed the call id from every answer with the headers that only daemons set, so callers could not tell whose answer they had. Ruled out: passing any id on; an answer that names another call is now refused as an unknown outcome. Conclusion: answers carry their call's id again.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -145,11 +145,20 @@
 	if response.Header.Get(hop.HeaderDraining) == "true" && s.options.OnDraining != nil {
 		s.options.OnDraining()
 	}
+	echoed := response.Header.Get(hop.HeaderCallID)
+	if echoed != "" && echoed != call.ID {
+		_ = response.Body.Close()
+		return nil, refusal.Wrap(refusal.BackendBroken, refusal.Unknown, errOtherCall)
+	}
 	hop.DropInternal(response.Header)
+	response.Header.Set(hop.HeaderCallID, call.ID)
 	response.Header.Set(hop.HeaderOutcome, refusal.Ran.String())
 	return response, nil
 }
 
+// errOtherCall reports an answer that names another call than its request.
+var errOtherCall = errors.New("backend: the answer belongs to another call")
+
 // request builds the request for the backend server. The body hides its type
 // from net/http, because net/http repeats a request with an Idempotency-Key
 // header by itself when the body is absent or can be read again; a request
