--- a/core/balance/chooser.go
+++ b/core/balance/chooser.go
@@ -68,6 +68,17 @@
 	Random                    // random
 )
 
+// ParsePolicy returns the policy with the given name. The empty name is
+// LeastLoaded.
+func ParsePolicy(name string) (Policy, bool) {
+	for policy := LeastLoaded; policy <= Random; policy++ {
+		if name == policy.String() {
+			return policy, true
+		}
+	}
+	return LeastLoaded, name == ""
+}
+
 // Chooser selects backend servers for one daemon. It is safe for concurrent
 // use.
 type Chooser struct {
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -28,7 +28,8 @@
 func (d *Daemon) buildTraffic() {
 	s := d.settings
 	d.gate = admission.NewGate(initialSlots, initialConnections)
-	d.chooser = balance.NewChooser(s.Host, s.FailureDomain, uint64(time.Now().UnixNano()))
+	d.chooser = balance.NewChooser(s.Host, s.FailureDomain, uint64(time.Now().UnixNano()),
+		balance.WithPolicy(s.BalancePolicy()))
 	d.backend = backend.New(backend.Options{
 		Address:     s.BackendAddress,
 		Service:     s.Service,
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -20,6 +20,7 @@
 	"os"
 	"time"
 
+	"marjoramsaddle/core/balance"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 )
@@ -221,6 +222,9 @@
 	if _, ok := kernel.ParseStrategy(s.strategyName()); !ok {
 		return &Error{Field: "experiment.strategy", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Strategy), Remedy: "use delta, full or poll"}
 	}
+	if _, ok := balance.ParsePolicy(s.Experiment.Balance); !ok {
+		return &Error{Field: "experiment.balance", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Balance), Remedy: "use least_loaded, round_robin or random"}
+	}
 	if s.DrainMS < 0 || s.TraceEvents < 0 {
 		return &Error{Field: "drain_ms, trace_events", Problem: "negative", Remedy: "use 0 or more"}
 	}
@@ -234,6 +238,12 @@
 	return s.Experiment.Strategy
 }
 
+// BalancePolicy returns the policy for the choice of backend servers.
+func (s *Settings) BalancePolicy() balance.Policy {
+	policy, _ := balance.ParsePolicy(s.Experiment.Balance)
+	return policy
+}
+
 // Options returns the kernel options that the settings select.
 func (s *Settings) Options() kernel.Options {
 	strategy, _ := kernel.ParseStrategy(s.strategyName())
