Tell the chooser the slots of each host

Cause: endpoint entries never carry slots, so the chooser took each host for one with a single slot and called it overloaded at one outstanding call. Ruled out: announcing slots in entries; the configuration in force names them, and an entry could contradict it. Conclusion: calls stay in the own failure domain until its slots are full.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -91,12 +93,20 @@
 	}
 	d.snapshot.Store(a.Snapshot)
 	d.view.Store(a.View)
+	if table := d.table.Load(); table != nil {
+		d.publishEndpoints(slices.Collect(maps.Values(*table)))
+	}
 }
 
 func (d *Daemon) publishEndpoints(entries []endpoint.Entry) {
 	table := make(map[id.Host]endpoint.Entry, len(entries))
-	for _, entry := range entries {
-		table[entry.Host] = entry
+	view := d.view.Load()
+	for i, entry := range entries {
+		if view != nil {
+			// Entries don't carry slots; the configuration in force names them.
+			entries[i].Slots = view.Policies[entry.Service].Service.Slots
+		}
+		table[entry.Host] = entries[i]
 	}
 	d.table.Store(&table)
 	d.chooser.SetEndpoints(entries)
