Send HTTP/3 calls over a connection of our own

Cause: http3.Transport of quic-go v0.65.0 repeats a request by itself on a new connection when the server rejects its stream or the connection is unusable. A repeat behind io/caller is neither counted nor bounded, and the answer's outcome no longer tells what was sent. Ruled out: GetBody nil alone; a request without a body is repeated all the same. Conclusion: only io/caller repeats calls.

--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -11,9 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
-
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/certificate"
@@ -68,27 +65,6 @@
 	return &Client{transport: transport, closeIdle: transport.CloseIdleConnections}
 }
 
-func newHTTP3Client(keys *certificate.Keys, lookup Lookup) *Client {
-	transport := &http3.Transport{
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxHeaderBytes,
-		QUICConfig: &quic.Config{
-			MaxIdleTimeout:             idleTimeout,
-			HandshakeIdleTimeout:       dialTimeout,
-			MaxStreamReceiveWindow:     maxReceiveWindow,
-			MaxConnectionReceiveWindow: 2 * maxReceiveWindow,
-		},
-		Dial: func(ctx context.Context, target string, _ *tls.Config, config *quic.Config) (*quic.Conn, error) {
-			host, address, err := resolve(lookup, target)
-			if err != nil {
-				return nil, err
-			}
-			return quic.DialAddrEarly(ctx, address, keys.Client(host, http3.NextProtoH3), config)
-		},
-	}
-	return &Client{transport: transport, closeIdle: transport.CloseIdleConnections}
-}
-
 func resolve(lookup Lookup, target string) (id.Host, string, error) {
 	name, _, err := net.SplitHostPort(target)
 	if err != nil {
