Refuse work at a leaving host and notice a returned backend server

Cause: a host whose entry is leaving still accepted calls from daemons that had not seen it yet. Nothing called gate.Restarted, and the entry's Started never changed, so a returned backend server got a full load at once. A drained backend server that had ended made the host alive again. Each answer of a draining backend server raised a kernel event. Ruled out: draining the gate, which can't be undone when a backend server is replaced. Before: no test of the signs; Started stayed at the daemon's start. Conclusion: probes, answers and refused connections are joined in one place in daemon/drain.go. Refused connections show a restart between two probes.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -152,6 +152,13 @@
 	g.Expire(now)
 }
 
+// SetRamp sets how long the slots take to grow after a start.
+func (g *Gate) SetRamp(ramp time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ramp = ramp
+}
+
 // Restarted begins the cold-start ramp again.
 func (g *Gate) Restarted(now id.Instant) {
 	g.mu.Lock()
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -187,6 +187,26 @@
 	is.Equal(n.nodes[drained].kernel.Shared().Ready, kernel.Draining)
 }
 
+// Guards against a backend server that has returned and gets a full load at
+// once: the other hosts must see that it started anew.
+func TestBackendReturns(t *testing.T) {
+	is := is.New(t)
+	n := started(t, 2, 3)
+	host, peer := n.order[1], n.order[4]
+	n.step(host, kernel.BackendState{Ready: true})
+	n.run(time.Second)
+	before, _ := n.nodes[peer].kernel.Shared().Table.Get(host)
+	n.step(host, kernel.BackendState{})
+	n.run(time.Second)
+	back := n.now
+	n.step(host, kernel.BackendState{Ready: true})
+	n.run(time.Second)
+	after, _ := n.nodes[peer].kernel.Shared().Table.Get(host)
+	is.True(before.Started < back)
+	is.True(after.Started >= back)
+	is.Equal(after.State, endpoint.Alive)
+}
+
 // Guards against a census that misses hosts, waits past its deadline, or hides
 // the hosts that did not answer.
 func TestCensus(t *testing.T) {
--- a/core/member/own.go
+++ b/core/member/own.go
@@ -20,6 +20,8 @@
 	draining bool
 	listed   bool
 	stopping bool
+	// down is set while the backend server is not ready.
+	down bool
 }
 
 func (o *own) state() endpoint.State {
@@ -39,10 +41,12 @@
 func (p *plugin) backendState(at id.Instant, event kernel.BackendState) {
 	changed := p.own.draining != event.Draining
 	p.own.draining = event.Draining
-	if event.Ready && p.own.entry.Started == 0 {
+	if event.Ready && (p.own.down || p.own.entry.Started == 0) {
+		// Other hosts begin a slow start of a backend server that has returned.
 		p.own.entry.Started = at
 		changed = true
 	}
+	p.own.down = !event.Ready
 	if changed {
 		p.announce()
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -89,6 +89,7 @@
 		return
 	}
 	if policy, ok := a.View.Policies[d.settings.Service]; ok {
+		d.gate.SetRamp(time.Duration(policy.Service.ColdStartMS) * time.Millisecond)
 		d.gate.Resize(now(), policy.Service.Slots, policy.Service.Connections)
 	}
 	d.snapshot.Store(a.Snapshot)
@@ -109,6 +110,7 @@
 		table[entry.Host] = entries[i]
 	}
 	d.table.Store(&table)
+	d.backend.SetLeaving(table[d.settings.Host].State == endpoint.Leaving)
 	d.chooser.SetEndpoints(entries)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,6 +75,7 @@
 	gate    *admission.Gate
 	chooser *balance.Chooser
 	backend *backend.Server
+	signs   signs
 	hop     *hop.Client
 	budgets budgets
 	limits  limits
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"marjoramsaddle/core/kernel"
@@ -51,11 +52,66 @@
 	}
 }
 
-// onHealth tells the kernel what the backend server says of itself.
+// signs collects what is known of the backend server's state, from probes and
+// from the answers to calls.
+type signs struct {
+	mu sync.Mutex
+	// down is set from the first sign that the backend server is not there
+	// until it is ready again.
+	down bool
+	// draining is set by an answer. Health may lag behind it, so only the next
+	// start of the backend server clears it.
+	draining bool
+	known    bool
+	last     kernel.BackendState
+}
+
+// onHealth tells the kernel what the backend server says of itself. A backend
+// server that has come back after it was down begins with a cold start.
 func (d *Daemon) onHealth(health backend.Health) {
-	d.emit(kernel.BackendState{Ready: health.Ready, Draining: health.Draining})
+	s := &d.signs
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := kernel.BackendState{Ready: health.Ready}
+	switch {
+	case !health.Ready:
+		s.down = true
+		// A backend server that drained and ended has not returned.
+		state.Draining = s.last.Draining
+	case s.down:
+		s.down = false
+		s.draining = false
+		state.Draining = health.Draining
+		d.gate.Restarted(now())
+	default:
+		state.Draining = health.Draining || s.draining
+	}
+	d.report(state)
 }
 
+// onDraining handles an answer that says that the backend server drains.
 func (d *Daemon) onDraining() {
-	d.emit(kernel.BackendState{Ready: true, Draining: true})
+	d.signs.mu.Lock()
+	defer d.signs.mu.Unlock()
+	d.signs.draining = true
+	d.report(kernel.BackendState{Ready: true, Draining: true})
+}
+
+// onUnreachable handles a connection that the backend server did not accept,
+// which can be the only sign of a restart between two probes.
+func (d *Daemon) onUnreachable() {
+	d.signs.mu.Lock()
+	defer d.signs.mu.Unlock()
+	d.signs.down = true
+	d.report(kernel.BackendState{Draining: d.signs.last.Draining})
+}
+
+// report tells the kernel of a changed state. The caller holds the lock.
+func (d *Daemon) report(state kernel.BackendState) {
+	if d.signs.known && d.signs.last == state {
+		return
+	}
+	d.signs.known = true
+	d.signs.last = state
+	d.emit(state)
 }
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -31,12 +31,13 @@
 	d.chooser = balance.NewChooser(s.Host, s.FailureDomain, uint64(time.Now().UnixNano()),
 		balance.WithPolicy(s.BalancePolicy()))
 	d.backend = backend.New(backend.Options{
-		Address:     s.BackendAddress,
-		Service:     s.Service,
-		Gate:        d.gate,
-		Connections: maxConnections,
-		OnDraining:  d.onDraining,
-		Now:         now,
+		Address:       s.BackendAddress,
+		Service:       s.Service,
+		Gate:          d.gate,
+		Connections:   maxConnections,
+		OnDraining:    d.onDraining,
+		OnUnreachable: d.onUnreachable,
+		Now:           now,
 	})
 	d.hop = hop.NewClient(d.keys, d.lookup, s.HopTransport)
 	d.budgets.unbounded = s.Experiment.NoRetryBudget
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -40,6 +40,8 @@
 	Connections int
 	// OnDraining is called when an answer says that the backend server drains.
 	OnDraining func()
+	// OnUnreachable is called when the backend server accepts no connection.
+	OnUnreachable func()
 	// Now returns the current time.
 	Now func() id.Instant
 }
@@ -49,6 +51,7 @@
 	options   Options
 	transport *http.Transport
 	dialled   atomic.Int64
+	leaving   atomic.Bool
 }
 
 // New returns a server. It opens connections only when calls arrive.
@@ -63,7 +66,11 @@
 		MaxResponseHeaderBytes: hop.MaxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			s.dialled.Add(1)
-			return dialer.DialContext(ctx, network, address)
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil && ctx.Err() == nil && options.OnUnreachable != nil {
+				options.OnUnreachable()
+			}
+			return conn, err
 		},
 	}
 	return s
@@ -72,6 +79,9 @@
 // Dialled returns the number of connections opened so far.
 func (s *Server) Dialled() int64 { return s.dialled.Load() }
 
+// SetLeaving refuses new calls while this host leaves. Calls in progress finish.
+func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
 // ServeHTTP handles a call from another daemon.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	call, err := hop.ReadCall(r.Header)
@@ -121,6 +131,8 @@
 
 func (s *Server) check(call hop.Call) *refusal.Error {
 	switch {
+	case s.leaving.Load():
+		return refusal.New(refusal.Leaving, refusal.NotRun)
 	case call.Service != s.options.Service:
 		return refusal.New(refusal.NoEndpoint, refusal.NotRun)
 	case call.Deadline.Before(s.options.Now()):
--- /dev/null
+++ b/io/backend/backend_test.go
@@ -0,0 +1,190 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/backend"
+	"marjoramsaddle/io/hop"
+)
+
+func now() id.Instant { return id.InstantOf(time.Now()) }
+
+func newServer(address string, change func(*backend.Options)) *backend.Server {
+	options := backend.Options{
+		Address: address, Service: "counter", Gate: admission.NewGate(2, 2), Connections: 2, Now: now,
+	}
+	if change != nil {
+		change(&options)
+	}
+	return backend.New(options)
+}
+
+func order(idempotent bool) hop.Call {
+	return hop.Call{
+		ID: "c1", Service: "counter", Class: document.ClassOrder, Depth: 1, Key: "k1", QueueMS: 100,
+		Deadline: now().Add(5 * time.Second), Idempotent: idempotent,
+	}
+}
+
+func request(body string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "http://mesh/orders", strings.NewReader(body))
+	r.Header.Set(hop.HeaderKey, "k1")
+	if body == "" {
+		r.Body = http.NoBody // as io/caller sends it, which net/http could repeat
+	}
+	return r
+}
+
+// scripted answers the requests of each connection in turn and closes it after
+// the last answer; an empty answer closes it without one.
+func scripted(t *testing.T, requests *atomic.Int64, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn, requests, answers)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answer(conn net.Conn, requests *atomic.Int64, answers []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, text := range answers {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		requests.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, text)
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against net/http, which repeats a request with an Idempotency-Key by
+// itself when a reused connection breaks: the request may have run.
+func TestKeyedRequestIsNotRepeated(t *testing.T) {
+	for _, body := range []string{"", "order"} {
+		is := is.New(t)
+		var requests atomic.Int64
+		server := newServer(scripted(t, &requests, whole, ""), nil)
+		response, refused := server.Do(context.Background(), request(body), order(false))
+		is.True(refused == nil)
+		_, err := io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		_, refused = server.Do(context.Background(), request(body), order(false)) //nolint:bodyclose // There is no answer.
+		is.True(refused != nil)
+		is.Equal(refused.Outcome, refusal.Unknown)
+		is.Equal(requests.Load(), int64(2))
+	}
+}
+
+// Guards against claims that a request did not run although it was sent, answers
+// whose end can't be told, answers of other calls and headers without bound.
+func TestAnswersThatAreNotPassedOn(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		reason       refusal.Reason
+	}{
+		{"no answer", "", refusal.BackendBroken},
+		{"garbage", "\x00\xff not http\r\n\r\n", refusal.BackendBroken},
+		{"open end", "HTTP/1.1 200 OK\r\n\r\nok", refusal.BackendBroken},
+		{"other call", "HTTP/1.1 200 OK\r\nMarjoramsaddle-Call-Id: c2\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*hop.MaxHeaderBytes) + "\r\n\r\n", refusal.BackendBroken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int64
+			gate := admission.NewGate(1, 1)
+			server := newServer(scripted(t, &requests, c.answer), func(o *backend.Options) { o.Gate = gate })
+			_, refused := server.Do(context.Background(), request("order"), order(false)) //nolint:bodyclose // There is no answer.
+			is.True(refused != nil)
+			is.Equal(refused.Reason, c.reason)
+			is.Equal(refused.Outcome, refusal.Unknown)
+			running, _ := gate.Load()
+			is.Equal(running, 0) // the slot is free again
+		})
+	}
+}
+
+// Guards against refusals that reach the backend server: its journal must show
+// nothing of a call that did not run.
+func TestRefusedCallsReachNothing(t *testing.T) {
+	var requests atomic.Int64
+	address := scripted(t, &requests, whole)
+	cases := []struct {
+		name   string
+		change func(*backend.Server, *hop.Call)
+		want   refusal.Reason
+	}{
+		{"leaving", func(s *backend.Server, _ *hop.Call) { s.SetLeaving(true) }, refusal.Leaving},
+		{"other service", func(_ *backend.Server, c *hop.Call) { c.Service = "depot" }, refusal.NoEndpoint},
+		{"late", func(_ *backend.Server, c *hop.Call) { c.Deadline = now().Add(-time.Second) }, refusal.DeadlinePassed},
+		{"deep", func(_ *backend.Server, c *hop.Call) { c.Depth = 30 }, refusal.DepthExceeded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			server, call := newServer(address, nil), order(false)
+			c.change(server, &call)
+			r := request("order")
+			call.Write(r.Header)
+			recorder := httptest.NewRecorder()
+			server.ServeHTTP(recorder, r)
+			is.Equal(recorder.Header().Get(hop.HeaderOutcome), refusal.NotRun.String())
+			is.Equal(recorder.Header().Get(hop.HeaderReason), c.want.String())
+			is.Equal(requests.Load(), int64(0))
+		})
+	}
+}
+
+// Guards against signs of the backend server's state that are lost.
+func TestSignsOfState(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	draining, unreachable := 0, 0
+	signs := func(o *backend.Options) {
+		o.OnDraining = func() { draining++ }
+		o.OnUnreachable = func() { unreachable++ }
+	}
+	leaving := "HTTP/1.1 200 OK\r\nMarjoramsaddle-Draining: true\r\nContent-Length: 0\r\n\r\n"
+	response, refused := newServer(scripted(t, &requests, leaving), signs).Do(context.Background(), request("order"), order(false))
+	is.True(refused == nil)
+	is.NoErr(response.Body.Close())
+	is.Equal(draining, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+	gone := newServer(listener.Addr().String(), signs)
+	_, refused = gone.Do(context.Background(), request("order"), order(false)) //nolint:bodyclose // There is no answer.
+	is.Equal(refused.Outcome, refusal.NotRun)
+	is.Equal(unreachable, 1)
+}
--- a/io/backend/probe.go
+++ b/io/backend/probe.go
@@ -23,17 +23,13 @@
 }
 
 // Probe reads the health endpoint each second until the context ends, and
-// reports changes.
+// reports each result.
 func Probe(ctx context.Context, address, path string, report func(Health)) {
 	client := &http.Client{Timeout: probeInterval}
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	var last Health
-	for first := true; ; first = false {
-		if health := probe(ctx, client, "http://"+address+path); first || health != last {
-			report(health)
-			last = health
-		}
+	for {
+		report(probe(ctx, client, "http://"+address+path))
 		select {
 		case <-ctx.Done():
 			return
