Shorten the warm-up before a fault

Ruled out: no warm-up; the first calls would open all connections. Conclusion: figures with a fault may include slow start.

--- a/bench/load/experiment.go
+++ b/bench/load/experiment.go
@@ -28,6 +28,8 @@
 	warmUpRate = 200
 	warmUpTime = 10 * time.Second
 	warmUpSeed = 2 << 32
+	// warmUpBeforeFault only opens connections. Faults may meet a slow start.
+	warmUpBeforeFault = 2 * time.Second
 	// internalPrefix begins the paths of the second service.
 	internalPrefix = "/internal/"
 	// platformPorts are taken before those of the hosts.
@@ -199,6 +201,9 @@
 		return nil
 	}
 	plan := Plan{Rate: warmUpRate, Duration: warmUpTime, Seed: e.Plan.Seed + warmUpSeed}
+	if len(e.Faults) > 0 {
+		plan.Duration = warmUpBeforeFault
+	}
 	caller := NewCaller(e.addresses(layout))
 	defer caller.Close()
 	Run(ctx, lookups(workload, plan), caller)
