Run keyed non-idempotent calls at most once

Cause: core/idempotency was not in the call path, so an order that its caller repeated through another daemon ran again. Ruled out: recording after admission, which would hold a slot during the exchange with the partner; a repeat at the next replica after the owner has claimed the key, because a partner grants a key to one owner only; an origin at the start of the run, because a host can't tell its first start from a restart after that time. Keys are now refused before the origin, since hosts may not know each other by then; without this rule an origin in the future let two owners with different sets of hosts run a key. After: go test -race -count=3 ./daemon passes. Conclusion: io/record stands between the hop listener and the backend server; io/caller sends keyed calls to the owner. In_progress is 409 with any outcome.

--- a/bench/fleet/settings.go
+++ b/bench/fleet/settings.go
@@ -1,13 +1,22 @@
 package fleet
 
 import (
+	"time"
+
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/io/settings"
 )
 
+// OriginDelay is the time from the writing of the settings to the origin of the
+// idempotency keys. A host vouches for keys when it has run for 10 s before the
+// origin, which leaves 5 s to start a fleet. Keys are refused until then.
+const OriginDelay = 15 * time.Second
+
 // DaemonSettings returns settings for daemons that read the platform at the
 // given URL and run with the given experiment.
 func DaemonSettings(platformURL string, change func(*settings.Settings)) Settings {
+	// Settings hold whole seconds; rounding up keeps the delay.
+	origin := time.Now().Add(OriginDelay + time.Second).Truncate(time.Second).UTC()
 	return func(host Host, seeds []Host, files Files) any {
 		s := settings.Settings{
 			Host:            host.Name,
@@ -20,6 +29,8 @@
 			OperatorAddress: host.Operator.String(),
 			BackendAddress:  host.Backend.String(),
 			PlatformURL:     platformURL,
+
+			IdempotencyOrigin: origin.Format(time.RFC3339),
 			TLS: settings.TLS{
 				CertificateFile: files.Certificate,
 				KeyFile:         files.Key,
--- a/core/idempotency/doc.go
+++ b/core/idempotency/doc.go
@@ -32,6 +32,7 @@
 //	repeat at A after a large answer         ran, without the answer
 //	repeat at A after an unknown outcome     unknown
 //	repeat at A after it did not run         runs, when a partner records it
+//	repeat with another request              bad_request, not run
 //	through another daemon, owner is A       as at A
 //	another daemon takes B for the owner     unknown; B names A, which can be asked
 //	another daemon takes C for the owner     as A or B tells C; never runs
@@ -47,6 +48,7 @@
 //	two owners at the same time              at most one runs, the other gets
 //	                                         in_progress or unknown
 //	key older than the retention             record_unavailable
+//	before the origin                        record_unavailable
 //	records full                             record_unavailable
 //
 // A refusal with record_unavailable has the outcome unknown, because an earlier
@@ -55,7 +57,7 @@
 //
 // Usage:
 //
-//	claim, answer := records.Begin(key, now, deadline)
+//	claim, answer := records.Begin(key, fingerprint, now, deadline)
 //	if claim == nil {
 //		return answer
 //	}
--- a/core/idempotency/idempotency_string.go
+++ b/core/idempotency/idempotency_string.go
@@ -14,11 +14,12 @@
 	_ = x[Unclear-3]
 	_ = x[Finished-4]
 	_ = x[Released-5]
+	_ = x[Mismatched-6]
 }
 
-const _State_name = "unavailablegrantedin_progressunclearfinishedreleased"
+const _State_name = "unavailablegrantedin_progressunclearfinishedreleasedmismatched"
 
-var _State_index = [...]uint8{0, 11, 18, 29, 36, 44, 52}
+var _State_index = [...]uint8{0, 11, 18, 29, 36, 44, 52, 62}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/core/idempotency/records.go
+++ b/core/idempotency/records.go
@@ -13,9 +13,9 @@
 
 const (
 	defaultRetention = 10 * time.Minute
-	// defaultViewLag exceeds the partitions of some minutes that regions see a
+	// DefaultViewLag exceeds the partitions of some minutes that regions see a
 	// few times a year. It only lengthens the memory of changed host names.
-	defaultViewLag = 10 * time.Minute
+	DefaultViewLag = 10 * time.Minute
 	// defaultSettle is the view lag assumed for keys made after the process
 	// started. It exceeds the 9 s in which a change is in force everywhere.
 	defaultSettle = 10 * time.Second
@@ -49,8 +49,14 @@
 	Finished // finished
 	// Released means that the request did not run here.
 	Released // released
+	// Mismatched means that the key belongs to another request.
+	Mismatched // mismatched
 )
 
+// Fingerprint tells requests with the same key apart. It is a hash of what
+// makes two requests the same one.
+type Fingerprint [16]byte
+
 // Answer tells what is known of a key.
 type Answer struct {
 	State State
@@ -67,6 +73,8 @@
 		return nil
 	case a.State == Finished:
 		return refusal.New(refusal.RecordUnavailable, refusal.Ran)
+	case a.State == Mismatched:
+		return refusal.New(refusal.BadRequest, refusal.NotRun)
 	case a.State == InProgress:
 		return refusal.New(refusal.InProgress, refusal.Unknown)
 	default:
@@ -80,6 +88,7 @@
 	Owner       id.Host
 	Incarnation id.Incarnation
 	Deadline    id.Instant
+	Fingerprint Fingerprint
 }
 
 // Claim is an owner's attempt to run a request.
@@ -96,6 +105,7 @@
 	owner       id.Host
 	incarnation id.Incarnation
 	claim       *Claim
+	fingerprint Fingerprint
 	result      []byte
 	until       id.Instant
 }
@@ -126,8 +136,9 @@
 	return func(r *Records) { r.viewLag, r.settle = lag, settle }
 }
 
-// WithOrigin states that no key was used before the given instant, such as the
-// first start of the fleet.
+// WithOrigin states that no key was used before the given instant. Keys are
+// refused until then. A host vouches at once for keys of any form when it
+// started, and knew the hosts, the settle time before the origin.
 func WithOrigin(at id.Instant) Option { return func(r *Records) { r.origin = at } }
 
 // WithBounds bounds the records, and the bytes of the recorded answers.
@@ -140,7 +151,7 @@
 func NewRecords(self id.Host, started id.Instant, options ...Option) *Records {
 	records := &Records{
 		self: self, incarnation: id.Incarnation(started), started: started,
-		retention: defaultRetention, viewLag: defaultViewLag, settle: defaultSettle,
+		retention: defaultRetention, viewLag: DefaultViewLag, settle: defaultSettle,
 		store: store{records: map[string]*record{}, maxCount: defaultCount, maxBytes: defaultBytes},
 	}
 	for _, option := range options {
@@ -157,24 +168,24 @@
 }
 
 // Begin starts a request at its owner. Without a claim, the answer is final.
-func (r *Records) Begin(key string, now, deadline id.Instant) (*Claim, Answer) {
+func (r *Records) Begin(key string, fingerprint Fingerprint, now, deadline id.Instant) (*Claim, Answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.store.get(key, now)
 	if known != nil && known.state != Released {
-		return nil, known.answer()
+		return nil, known.answerTo(fingerprint)
 	}
 	sets := r.replicas(key, now)
 	if !now.Before(deadline) || !containsHost(sets, r.self) {
 		return nil, Answer{}
 	}
 	deadline = min(deadline, now.Add(longestCall))
-	claim := &Claim{Request: Request{Key: key, Owner: r.self, Incarnation: r.incarnation, Deadline: deadline}}
+	claim := &Claim{Request: Request{Key: key, Owner: r.self, Incarnation: r.incarnation, Deadline: deadline, Fingerprint: fingerprint}}
 	claim.Partners = r.partners(key, sets)
 	if r.vouches(key, now) {
 		claim.voters = append(claim.voters, r.self)
 	}
-	made := record{state: InProgress, owner: r.self, incarnation: r.incarnation, claim: claim, until: deadline.Add(r.retention)}
+	made := record{state: InProgress, owner: r.self, incarnation: r.incarnation, claim: claim, fingerprint: fingerprint, until: deadline.Add(r.retention)}
 	if !r.store.put(key, known, made) {
 		return nil, Answer{}
 	}
@@ -207,12 +218,14 @@
 	known := r.store.get(request.Key, now)
 	if known != nil && known.state != Released {
 		if known.claim == nil && known.owner == request.Owner && known.incarnation == request.Incarnation {
+			// The owner starts a key anew only when its former request did not run.
+			known.fingerprint = request.Fingerprint
 			return Answer{State: Granted, Owner: request.Owner}
 		}
-		return known.answer()
+		return known.answerTo(request.Fingerprint)
 	}
 	made := record{
-		state: Unclear, owner: request.Owner, incarnation: request.Incarnation,
+		state: Unclear, owner: request.Owner, incarnation: request.Incarnation, fingerprint: request.Fingerprint,
 		until: max(now, request.Deadline).Add(r.retention),
 	}
 	if !r.vouches(request.Key, now) || !r.store.put(request.Key, known, made) {
@@ -257,6 +270,14 @@
 
 func (k *record) answer() Answer { return Answer{State: k.state, Owner: k.owner, Result: k.result} }
 
+// answerTo is the answer to a request that may differ from the recorded one.
+func (k *record) answerTo(fingerprint Fingerprint) Answer {
+	if k.fingerprint != fingerprint {
+		return Answer{State: Mismatched, Owner: k.owner}
+	}
+	return k.answer()
+}
+
 func (r *Records) ready(claim *Claim, now id.Instant) bool {
 	known := r.store.get(claim.Request.Key, now)
 	if known == nil || known.claim != claim || known.state != InProgress {
@@ -266,8 +287,12 @@
 }
 
 // born returns the earliest instant at which the key may have been used. The
-// second result is false for a key whose records may be forgotten already.
+// second result is false for a key whose records may be forgotten already, and
+// before the origin, when no key is used.
 func (r *Records) born(key string, now id.Instant) (id.Instant, bool) {
+	if now.Before(r.origin) {
+		return 0, false
+	}
 	created, dated := CreatedAt(key)
 	if !dated || created > now.Add(r.settle) {
 		return r.origin, len(key) <= MaxKey
--- a/core/idempotency/records_test.go
+++ b/core/idempotency/records_test.go
@@ -152,7 +152,7 @@
 	}
 	begin := func(t *rapid.T) *attempt {
 		records := w.daemons[host(t)]
-		claim, _ := records.Begin(rapid.SampledFrom(w.keys).Draw(t, "key"), w.now, w.now.Add(20*time.Second))
+		claim, _ := records.Begin(rapid.SampledFrom(w.keys).Draw(t, "key"), Fingerprint{}, w.now, w.now.Add(20*time.Second))
 		if claim == nil {
 			return nil
 		}
@@ -214,7 +214,7 @@
 		return w.daemons, Replicas(key, names)
 	}
 	first := func(is *is.I, daemons map[id.Host]*Records, order []id.Host) *Claim {
-		claim, _ := daemons[order[0]].Begin(key, epoch, deadline)
+		claim, _ := daemons[order[0]].Begin(key, Fingerprint{}, epoch, deadline)
 		is.Equal(claim.Partners, order[1:])
 		is.True(!daemons[order[0]].Ready(claim, epoch)) // not without a partner
 		is.Equal(daemons[order[1]].PartnerRecord(claim.Request, epoch).State, Granted)
@@ -240,7 +240,7 @@
 			daemons, order := setup()
 			owner := daemons[order[0]]
 			claim := first(is, daemons, order)
-			_, answer := owner.Begin(key, epoch, deadline)
+			_, answer := owner.Begin(key, Fingerprint{}, epoch, deadline)
 			is.Equal(answer.Refusal().Reason, refusal.InProgress)
 			owner.Finish(claim, epoch, end.outcome, []byte(strings.Repeat("x", end.size)))
 			answer = owner.Lookup(key, epoch)
@@ -249,28 +249,41 @@
 			if refused := answer.Refusal(); refused != nil {
 				is.Equal(refused.Reason, end.refused)
 			}
-			again, _ := owner.Begin(key, epoch, deadline)
+			again, _ := owner.Begin(key, Fingerprint{}, epoch, deadline)
 			is.Equal(again != nil, end.outcome == refusal.NotRun)
 		})
 	}
 	is := is.New(t)
 	daemons, order := setup()
 	first(is, daemons, order)
-	_, answer := daemons[order[1]].Begin(key, epoch, deadline) // the owner died or is out of view
+	_, answer := daemons[order[1]].Begin(key, Fingerprint{}, epoch, deadline) // the owner died or is out of view
 	is.Equal(answer, Answer{State: Unclear, Owner: order[0]})
-	claim, _ := daemons[order[2]].Begin(key, epoch, deadline)
+	_, answer = daemons[order[1]].Begin(key, Fingerprint{1}, epoch, deadline) // another request with the key
+	is.Equal(answer.Refusal(), refusal.New(refusal.BadRequest, refusal.NotRun))
+	claim, _ := daemons[order[2]].Begin(key, Fingerprint{}, epoch, deadline)
 	is.Equal(daemons[order[1]].PartnerRecord(claim.Request, epoch).State, Unclear)
 	is.Equal(daemons[order[0]].PartnerRecord(claim.Request, epoch).State, InProgress)
 	for _, host := range order[:2] { // both died and came back
 		daemons[host] = NewRecords(host, epoch, WithRetention(retention))
 		daemons[host].SetHosts(epoch, names)
 		is.Equal(daemons[host].PartnerRecord(claim.Request, epoch).State, Unavailable)
-		claim, answer := daemons[host].Begin(key, epoch, deadline)
+		claim, answer := daemons[host].Begin(key, Fingerprint{}, epoch, deadline)
 		is.True(claim == nil)
 		is.Equal(answer.Refusal(), refusal.New(refusal.RecordUnavailable, refusal.Unknown))
 	}
-	_, answer = daemons[order[2]].Begin(dated(epoch.Add(-retention), 2), epoch, deadline)
+	_, answer = daemons[order[2]].Begin(dated(epoch.Add(-retention), 2), Fingerprint{}, epoch, deadline)
 	is.Equal(answer.State, Unavailable) // older than the retention
+	for _, host := range names {
+		daemons[host] = NewRecords(host, epoch, WithOrigin(epoch.Add(time.Minute)))
+		daemons[host].SetHosts(epoch, names)
+	}
+	early, _ := daemons[order[0]].Begin("plain", Fingerprint{}, epoch, deadline)
+	is.True(early == nil) // hosts may not know each other before the origin
+	later := epoch.Add(time.Minute)
+	owner := Replicas("plain", names)[0]
+	granted, _ := daemons[owner].Begin("plain", Fingerprint{}, later, later.Add(time.Second))
+	is.True(granted != nil)
+	is.Equal(daemons[granted.Partners[0]].PartnerRecord(granted.Request, later).State, Granted)
 }
 
 // Guards against records that grow without bound, and against a record dropped
@@ -280,7 +293,7 @@
 	records := NewRecords("a", 0, WithBounds(3, 100))
 	records.SetHosts(0, []id.Host{"a"})
 	for call := range 5 {
-		claim, _ := records.Begin(fmt.Sprint(call), epoch, epoch.Add(time.Second))
+		claim, _ := records.Begin(fmt.Sprint(call), Fingerprint{}, epoch, epoch.Add(time.Second))
 		is.Equal(claim != nil, call < 3)
 		if claim != nil {
 			is.True(records.Ready(claim, epoch))
@@ -307,7 +320,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		claim, _ := records.Begin(key, epoch, epoch+1000)
+		claim, _ := records.Begin(key, Fingerprint{}, epoch, epoch+1000)
 		records.Granted(claim, claim.Partners[0], epoch)
 		records.Finish(claim, epoch, refusal.NotRun, nil)
 	}
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -124,6 +124,8 @@
 	switch {
 	case e.Reason == DeadlinePassed:
 		return http.StatusGatewayTimeout
+	case e.Reason == InProgress:
+		return http.StatusConflict
 	case e.Outcome != NotRun:
 		return http.StatusBadGateway
 	}
@@ -138,8 +140,6 @@
 		return http.StatusBadRequest
 	case DepthExceeded:
 		return http.StatusLoopDetected
-	case InProgress:
-		return http.StatusConflict
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -99,6 +99,7 @@
 		table[entry.Host] = entry
 	}
 	d.table.Store(&table)
+	d.publishHosts(entries)
 	d.chooser.SetEndpoints(entries)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	_ "marjoramsaddle/core/census" // registers its plug-in
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/idempotency"
 	"marjoramsaddle/core/kernel"
 	_ "marjoramsaddle/core/member"  // registers its plug-in
 	_ "marjoramsaddle/core/overlay" // registers its plug-in
@@ -39,6 +40,7 @@
 	"marjoramsaddle/io/operator"
 	"marjoramsaddle/io/peer"
 	"marjoramsaddle/io/platform"
+	"marjoramsaddle/io/record"
 	"marjoramsaddle/io/settings"
 	"marjoramsaddle/io/telemetry"
 )
@@ -70,12 +72,15 @@
 	view     atomic.Pointer[snapshot.View]
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	table    atomic.Pointer[map[id.Host]endpoint.Entry]
+	services atomic.Pointer[map[id.Service][]id.Host]
 	ready    atomic.Int32
 
 	gate    *admission.Gate
 	chooser *balance.Chooser
 	backend *backend.Server
 	hop     *hop.Client
+	records *idempotency.Records
+	record  *record.Server
 	budgets budgets
 	limits  limits
 
@@ -170,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	d.hopServer, err = hop.Serve(s.HopAddress, d.keys, d.backend)
+	d.hopServer, err = hop.Serve(s.HopAddress, d.keys, d.record)
 	if err != nil {
 		d.transport.Close()
 		return err
@@ -183,7 +188,7 @@
 }
 
 func (d *Daemon) listenHTTP() error {
-	handler := caller.New(caller.Options{
+	options := caller.Options{
 		Self:    d.settings.Host,
 		Chooser: chooser{d.chooser},
 		Sender:  sender{d},
@@ -193,9 +198,12 @@
 		View:    d.view.Load,
 		Ready:   d.Readiness,
 		Now:     now,
-	})
+	}
+	if !d.settings.Experiment.NoRecords {
+		options.Owners = d.owners
+	}
 	var err error
-	d.callers, err = serveHTTP("caller_address", d.settings.CallerAddress, handler)
+	d.callers, err = serveHTTP("caller_address", d.settings.CallerAddress, caller.New(options))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/daemon/fleet_test.go
@@ -0,0 +1,302 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"marjoramsaddle/bench/fleet"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/idempotency"
+	"marjoramsaddle/core/kernel"
+	"marjoramsaddle/io/hop"
+	"marjoramsaddle/io/settings"
+	"marjoramsaddle/standin/authority"
+	"marjoramsaddle/standin/backend"
+	"marjoramsaddle/standin/platform"
+)
+
+// noRecords shows that tests of records fail without them.
+var noRecords = flag.Bool("no-records", false, "switch the idempotency records off")
+
+// settle is the time in which the hosts of a test learn of each other.
+const settle = 500 * time.Millisecond
+
+// testFleet is a fleet of daemons in this process with its stand-ins.
+type testFleet struct {
+	t        testing.TB
+	layout   *fleet.Layout
+	platform *platform.Server
+	daemons  map[id.Host]*Daemon
+	backends map[id.Host]*backend.Server
+	caller   map[id.Host]string
+	counters []id.Host
+	publish  *fleet.Publisher
+	client   *http.Client
+	cancel   map[id.Host]context.CancelFunc
+	running  sync.WaitGroup
+	// released lets the control goroutines of killed daemons end.
+	released chan struct{}
+}
+
+// newFleet starts a fleet and waits until it serves and vouches for new keys.
+func newFleet(t testing.TB, count int) *testFleet {
+	t.Helper()
+	is := is.New(t)
+	layout, err := fleet.New(fleet.Options{Daemons: count, Operator: fleet.Clouterie, FirstPort: 34_000})
+	is.NoErr(err)
+	f := &testFleet{
+		t: t, layout: layout, daemons: map[id.Host]*Daemon{}, backends: map[id.Host]*backend.Server{},
+		caller: map[id.Host]string{}, cancel: map[id.Host]context.CancelFunc{}, released: make(chan struct{}),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	t.Cleanup(f.stop)
+	f.platform, err = platform.Start(platform.Options{})
+	is.NoErr(err)
+	f.publish = fleet.NewPublisher(f.platform.Address(), layout, 1)
+	_, err = f.publish.Publish(t.Context())
+	is.NoErr(err)
+	f.assignPorts()
+	f.startDaemons()
+	f.waitReady()
+	return f
+}
+
+// assignPorts gives every host free ports and a backend server.
+func (f *testFleet) assignPorts() {
+	is := is.New(f.t)
+	var listeners []io.Closer
+	free := func() netip.AddrPort {
+		for {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			udp, err := net.ListenPacket("udp", tcp.Addr().String())
+			if err != nil {
+				_ = tcp.Close()
+				continue
+			}
+			listeners = append(listeners, tcp, udp)
+			return netip.MustParseAddrPort(tcp.Addr().String())
+		}
+	}
+	for index := range f.layout.Hosts {
+		host := &f.layout.Hosts[index]
+		server, err := backend.Start(backend.Options{Name: string(host.Name)})
+		is.NoErr(err)
+		f.backends[host.Name] = server
+		host.Backend = netip.MustParseAddrPort(server.Address())
+		host.Caller, host.Peer, host.Hop, host.Operator = free(), free(), free(), free()
+		f.caller[host.Name] = host.Caller.String()
+		if host.Service.Name == "counter" {
+			f.counters = append(f.counters, host.Name)
+		}
+	}
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
+
+func (f *testFleet) startDaemons() {
+	is := is.New(f.t)
+	issuer, err := authority.New()
+	is.NoErr(err)
+	folder := f.t.TempDir()
+	is.NoErr(f.layout.Write(folder, issuer, fleet.DaemonSettings("http://"+f.platform.Address(), func(s *settings.Settings) {
+		s.IdempotencyOrigin = ""
+		s.Experiment = settings.Experiment{NoRecords: *noRecords, SettleMS: int(settle.Milliseconds())}
+	})))
+	for _, host := range f.layout.Hosts {
+		loaded, err := settings.Load(fleet.FilesOf(folder, host).Settings)
+		is.NoErr(err)
+		d, err := New(loaded, zap.NewNop())
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		f.daemons[host.Name], f.cancel[host.Name] = d, cancel
+		f.running.Go(func() {
+			if err := d.Run(ctx); err != nil {
+				f.t.Error(err)
+			}
+		})
+	}
+}
+
+func (f *testFleet) waitReady() {
+	for _, d := range f.daemons {
+		f.eventually("fleet ready", func() bool {
+			services := d.services.Load()
+			return d.Readiness() == kernel.Serving && d.view.Load() != nil && services != nil && len((*services)["counter"]) == len(f.counters)
+		})
+	}
+	// A key vouches for the hosts known the settle time before it was made.
+	time.Sleep(2*settle + 100*time.Millisecond)
+}
+
+func (f *testFleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatal("not in time: " + what)
+		}
+	}
+}
+
+func (f *testFleet) stop() {
+	close(f.released)
+	for _, cancel := range f.cancel {
+		cancel()
+	}
+	f.running.Wait()
+	for _, server := range f.backends {
+		_ = server.Close()
+	}
+	if f.platform != nil {
+		_ = f.platform.Close()
+	}
+	f.client.CloseIdleConnections()
+}
+
+// kill ends a daemon for all others: its sockets close without an announcement.
+func (f *testFleet) kill(host id.Host) {
+	d := f.daemons[host]
+	held := make(chan struct{})
+	d.queries <- func(*kernel.Kernel) {
+		close(held)
+		<-f.released // the control goroutine does nothing more
+	}
+	<-held
+	at, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = d.callers.Close()
+	_ = d.hopServer.Shutdown(at)
+	d.transport.Close()
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+func (a answer) outcome() string { return a.header.Get(hop.HeaderOutcome) }
+func (a answer) reason() string  { return a.header.Get(hop.HeaderReason) }
+func (a answer) replayed() bool  { return a.header.Get(hop.HeaderReplayed) == "true" }
+func (a answer) String() string {
+	return fmt.Sprint(a.status, " ", a.outcome(), " ", a.reason(), " ", a.err)
+}
+
+// order sends an order through the daemon of a host.
+func (f *testFleet) order(through id.Host, key, body string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.caller[through]+"/orders", io.NopCloser(bytes.NewBufferString(body)))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.ContentLength = int64(len(body))
+	if key != "" {
+		request.Header.Set(hop.HeaderKey, key)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, read, err}
+}
+
+// ran returns how often backend servers ran requests with the key.
+func (f *testFleet) ran(key string) int {
+	count := 0
+	for _, server := range f.backends {
+		for _, row := range server.Journal().Rows {
+			if row.IdempotencyKey == key && row.Ran {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// runner returns a host that ran a request with the key.
+func (f *testFleet) runner(key string) id.Host {
+	for host, server := range f.backends {
+		for _, row := range server.Journal().Rows {
+			if row.IdempotencyKey == key && row.Ran {
+				return host
+			}
+		}
+	}
+	return ""
+}
+
+// slow sets the service time of all backend servers, in milliseconds.
+func (f *testFleet) slow(millis int) {
+	for _, server := range f.backends {
+		_ = server.SetFaults(backend.Faults{SlowMs: millis})
+	}
+}
+
+// restartBackend starts the backend server of a host anew on its address.
+func (f *testFleet) restartBackend(host id.Host) {
+	server, err := backend.Start(backend.Options{Name: string(host), Address: f.backends[host].Address()})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.backends[host] = server
+}
+
+// newKey returns a UUID of version 7 that was made now.
+func newKey(number int) string {
+	millis := fmt.Sprintf("%012x", time.Now().UnixMilli())
+	return fmt.Sprintf("%s-%s-7000-8000-%012x", millis[:8], millis[8:], number)
+}
+
+// key returns a new key and its replicas, none of which is excluded.
+func (f *testFleet) key(exclude ...id.Host) (string, []id.Host) {
+	for number := 0; ; number++ {
+		key := newKey(number)
+		replicas := idempotency.Replicas(key, f.counters)
+		if !slices.ContainsFunc(replicas, func(host id.Host) bool { return slices.Contains(exclude, host) }) {
+			return key, replicas
+		}
+	}
+}
+
+// other returns a live counter host that is none of the given ones.
+func (f *testFleet) other(hosts ...id.Host) id.Host {
+	for _, host := range f.counters {
+		if !slices.Contains(hosts, host) {
+			return host
+		}
+	}
+	f.t.Fatal("no other host")
+	return ""
+}
+
+func decoded(t testing.TB, a answer) backend.Answer {
+	t.Helper()
+	var content backend.Answer
+	if err := json.Unmarshal(a.body, &content); err != nil {
+		t.Fatalf("%v: %s", err, a)
+	}
+	return content
+}
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -10,10 +10,12 @@
 	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/balance"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/io/backend"
 	"marjoramsaddle/io/hop"
+	"marjoramsaddle/io/record"
 )
 
 // The sizes of the gate until a configuration names those of the service.
@@ -38,6 +40,18 @@
 		Now:         now,
 	})
 	d.hop = hop.NewClient(d.keys, d.lookup, s.HopTransport)
+	d.records = d.newRecords()
+	d.record = record.New(record.Options{
+		Self:    s.Host,
+		Service: s.Service,
+		Records: d.records,
+		Next:    d.backend,
+		Peers:   d.hop,
+		Order:   d.orderPartners,
+		Leaving: func() bool { return d.Readiness() == kernel.Draining },
+		Off:     s.Experiment.NoRecords,
+		Now:     now,
+	})
 	d.budgets.unbounded = s.Experiment.NoRetryBudget
 }
 
@@ -56,7 +70,7 @@
 // Do sends one attempt.
 func (s sender) Do(host id.Host, request *http.Request, call hop.Call) (*http.Response, *refusal.Error) {
 	if host == s.daemon.settings.Host {
-		return s.daemon.backend.Do(request.Context(), request, call)
+		return s.daemon.record.Do(request.Context(), request, call)
 	}
 	return s.daemon.hop.Do(host, request, call)
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -23,13 +23,15 @@
 		if refused == nil {
 			return response, nil
 		}
-		tried = append(tried, host)
+		if !h.stays(p, host, refused) {
+			tried = append(tried, host)
+		}
 		if !body.rewind() {
-			return nil, refused
+			return nil, h.undecided(p, host, refused)
 		}
 		next := retry.Decide(h.failed(p, number, marked, refused), budget)
 		if !next.Repeat {
-			return nil, h.ended(refused, next)
+			return nil, h.undecided(p, host, h.ended(refused, next))
 		}
 		h.options.Record.Retry(refused.Reason)
 		p.call.Retry = true
@@ -63,23 +65,23 @@
 }
 
 func (h *Handler) attempt(r *http.Request, p *plan, body *replayBody, tried []id.Host) (*http.Response, id.Host, *refusal.Error) {
-	entry, refused := h.options.Chooser.Choose(p.route.Service, h.options.Now(), tried)
+	host, refused := h.choose(p, tried)
 	if refused != nil {
 		return nil, "", refused
 	}
 	started := h.options.Now()
-	h.options.Chooser.Started(entry.Host)
-	response, refused := h.options.Sender.Do(entry.Host, h.request(r, body), p.call)
+	h.options.Chooser.Started(host)
+	response, refused := h.options.Sender.Do(host, h.request(r, body), p.call)
 	finish := func(result *refusal.Error) {
 		now := h.options.Now()
-		h.options.Chooser.Finished(entry.Host, now, now.Sub(started), result)
+		h.options.Chooser.Finished(host, now, now.Sub(started), result)
 	}
 	if refused != nil {
 		finish(refused)
-		return nil, entry.Host, refused
+		return nil, host, refused
 	}
 	response.Body = &countedBody{ReadCloser: response.Body, finish: finish}
-	return response, entry.Host, nil
+	return response, host, nil
 }
 
 func (h *Handler) request(r *http.Request, body *replayBody) *http.Request {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -49,6 +49,9 @@
 	Self    id.Host
 	Chooser Chooser
 	Sender  Sender
+	// Owners returns the hosts that may own an idempotency key, the first one to
+	// try first. When it is nil, keyed calls are sent like others.
+	Owners func(service id.Service, key string) []id.Host
 	// Budget returns the retry budget of a service.
 	Budget func(service id.Service, percent int) *retry.Budget
 	// Limit takes one call out of the rate limit of a service, or reports that
--- a/io/hop/call.go
+++ b/io/hop/call.go
@@ -31,6 +31,7 @@
 	HeaderOutcome  = "Marjoramsaddle-Outcome"
 	HeaderReason   = "Marjoramsaddle-Reason"
 	HeaderDraining = "Marjoramsaddle-Draining"
+	HeaderReplayed = "Marjoramsaddle-Replayed" // true on a recorded answer
 	HeaderKey      = "Idempotency-Key"
 )
 
@@ -54,6 +55,10 @@
 	Key string
 }
 
+// Recorded reports whether the call may run only once and carries a key, so
+// that a record tells whether it ran.
+func (c Call) Recorded() bool { return !c.Idempotent && c.Key != "" }
+
 // Write puts the call into the headers of a request.
 func (c Call) Write(header http.Header) {
 	header.Set(HeaderCallID, c.ID)
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -130,6 +130,14 @@
 	return response, nil
 }
 
+// Exchange sends a message between daemons that is no call, such as a request
+// to record an idempotency key.
+func (c *Client) Exchange(host id.Host, request *http.Request) (*http.Response, error) {
+	request.URL.Scheme = "https"
+	request.URL.Host = string(host)
+	return c.transport.RoundTrip(request)
+}
+
 func classify(ctx context.Context, err error, sent bool) *refusal.Error {
 	outcome := refusal.NotRun
 	reason := refusal.ConnectFailed
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -16,6 +16,7 @@
 var internal = []string{
 	HeaderDeadline, HeaderCallID, HeaderDepth, HeaderRetry, HeaderService,
 	HeaderClass, HeaderQueueMS, HeaderSafe, HeaderOutcome, HeaderReason,
+	HeaderReplayed,
 }
 
 // CopyHeader copies the end-to-end headers from one message to another.
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -55,6 +55,9 @@
 	DrainMS int `json:"drain_ms,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty"`
+	// IdempotencyOrigin is a time before which no idempotency key was used, in
+	// RFC 3339. Keys are refused until then.
+	IdempotencyOrigin string `json:"idempotency_origin,omitempty"`
 	// TraceEvents is the number of recent kernel events that are kept.
 	TraceEvents int `json:"trace_events,omitempty"`
 
@@ -81,6 +84,11 @@
 	AcceptOlder bool   `json:"accept_older,omitempty"`
 	// NoRetryBudget lets retries exceed their budget.
 	NoRetryBudget bool `json:"no_retry_budget,omitempty"`
+	// NoRecords sends calls with an idempotency key like calls without one.
+	NoRecords bool `json:"no_records,omitempty"`
+	// SettleMS replaces the time in which hosts learn of each other after their
+	// start, so that tests need not wait for it.
+	SettleMS int `json:"settle_ms,omitempty"`
 }
 
 // The values of fields that are not set.
@@ -221,6 +229,9 @@
 	if _, ok := kernel.ParseStrategy(s.strategyName()); !ok {
 		return &Error{Field: "experiment.strategy", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Strategy), Remedy: "use delta, full or poll"}
 	}
+	if _, err := time.Parse(time.RFC3339, s.IdempotencyOrigin); err != nil && s.IdempotencyOrigin != "" {
+		return &Error{Field: "idempotency_origin", Problem: fmt.Sprintf("%q is not a time", s.IdempotencyOrigin), Remedy: "write it like 2026-01-31T08:00:00Z"}
+	}
 	if s.DrainMS < 0 || s.TraceEvents < 0 {
 		return &Error{Field: "drain_ms, trace_events", Problem: "negative", Remedy: "use 0 or more"}
 	}
@@ -245,6 +256,15 @@
 	}
 }
 
+// Origin returns the time before which no idempotency key was used, or zero.
+func (s *Settings) Origin() id.Instant {
+	at, err := time.Parse(time.RFC3339, s.IdempotencyOrigin)
+	if err != nil {
+		return 0
+	}
+	return id.InstantOf(at)
+}
+
 // DrainDeadline returns when a graceful shutdown that starts at now ends at
 // the latest.
 func (s *Settings) DrainDeadline(now time.Time) time.Time {
