--- a/core/reader/reader_test.go
+++ b/core/reader/reader_test.go
@@ -16,10 +16,14 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/core/manifest"
+	"marjoramsaddle/core/topology"
 )
 
 func TestMain(m *testing.M) {
-	kernel.Register("witness", func(kernel.Environment, *kernel.Shared) kernel.Plugin { return witness{} })
+	kernel.Register("witness", func(_ kernel.Environment, shared *kernel.Shared) kernel.Plugin {
+		shared.TableSettled = true
+		return witness{}
+	})
 	os.Exit(m.Run())
 }
 
@@ -33,9 +37,9 @@
 			event.Snapshot.Version, event.Consistent, len(event.Snapshot.Documents().Canonical))})
 	case VersionRefused:
 		out.Do(kernel.Log{Text: fmt.Sprintf("version_refused %d: %s", event.Version, event.Reason)})
-	case HostsListed:
+	case kernel.HostsListed:
 		out.Do(kernel.Log{Text: fmt.Sprintf("hosts_listed %s %d leaving=%t",
-			event.Domain, len(event.Rows), event.Rows[0].Leaving())})
+			event.Rows[0].Domain, len(event.Rows), event.Rows[0].State == endpoint.Leaving)})
 	}
 }
 
@@ -81,6 +85,7 @@
 			k.Shared().Table.Merge(endpoint.Entry{Host: host, Domain: "a"})
 		}
 	}
+	k.Shared().Topology = topology.Of(k.Shared().Table, env.Self.Host)
 	return k
 }
 
