--- a/daemon/control.go
+++ b/daemon/control.go
@@ -112,6 +112,7 @@
 	}
 	d.table.Store(&table)
 	d.backend.SetLeaving(table[d.settings.Host].State == endpoint.Leaving)
+	d.publishHosts(entries)
 	d.chooser.SetEndpoints(entries)
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	_ "marjoramsaddle/core/census" // registers its plug-in
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/idempotency"
 	"marjoramsaddle/core/kernel"
 	_ "marjoramsaddle/core/member"  // registers its plug-in
 	_ "marjoramsaddle/core/overlay" // registers its plug-in
@@ -39,6 +40,7 @@
 	"marjoramsaddle/io/operator"
 	"marjoramsaddle/io/peer"
 	"marjoramsaddle/io/platform"
+	"marjoramsaddle/io/record"
 	"marjoramsaddle/io/settings"
 	"marjoramsaddle/io/telemetry"
 )
@@ -70,6 +72,7 @@
 	view     atomic.Pointer[snapshot.View]
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	table    atomic.Pointer[map[id.Host]endpoint.Entry]
+	services atomic.Pointer[map[id.Service][]id.Host]
 	ready    atomic.Int32
 	// steppedAt is when the control goroutine last ran, in Unix nanoseconds.
 	steppedAt atomic.Int64
@@ -79,6 +82,8 @@
 	backend *backend.Server
 	signs   signs
 	hop     *hop.Client
+	records *idempotency.Records
+	record  *record.Server
 	budgets budgets
 	limits  limits
 
@@ -173,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	d.hopServer, err = hop.Serve(s.HopAddress, d.keys, d.backend)
+	d.hopServer, err = hop.Serve(s.HopAddress, d.keys, d.record)
 	if err != nil {
 		d.transport.Close()
 		return err
@@ -186,7 +191,7 @@
 }
 
 func (d *Daemon) listenHTTP() error {
-	handler := caller.New(caller.Options{
+	options := caller.Options{
 		Self:    d.settings.Host,
 		Chooser: chooser{d.chooser},
 		Sender:  sender{d},
@@ -196,9 +201,12 @@
 		View:    d.view.Load,
 		Ready:   d.Readiness,
 		Now:     now,
-	})
+	}
+	if !d.settings.Experiment.NoRecords {
+		options.Owners = d.owners
+	}
 	var err error
-	d.callers, err = serveHTTP("caller_address", d.settings.CallerAddress, handler)
+	d.callers, err = serveHTTP("caller_address", d.settings.CallerAddress, caller.New(options))
 	if err != nil {
 		return err
 	}
