--- a/daemon/control.go
+++ b/daemon/control.go
@@ -67,6 +67,7 @@
 		d.publishEndpoints(a.Entries)
 	case kernel.SetReady:
 		d.ready.Store(int32(a.Ready))
+		d.log.Named("daemon").Info("readiness changed", zap.Stringer("readiness", a.Ready))
 		if a.Ready == kernel.Resyncing {
 			d.gate.Resync(now())
 		}
@@ -91,6 +92,8 @@
 	}
 	d.snapshot.Store(a.Snapshot)
 	d.view.Store(a.View)
+	d.log.Named("spread").Info("version in force",
+		zap.Uint64("version", uint64(a.View.Version)), zap.Stringer("digest", a.View.Digest))
 }
 
 func (d *Daemon) publishEndpoints(entries []endpoint.Entry) {
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -35,8 +35,13 @@
 	CallerAddress string `json:"caller_address"`
 	// ControlAddress accepts control links (UDP).
 	ControlAddress string `json:"control_address"`
+	// ControlAdvertise is the control address that the daemon announces, where
+	// peers reach it by another one. The default is ControlAddress.
+	ControlAdvertise string `json:"control_advertise,omitempty"`
 	// HopAddress accepts calls from other daemons (TCP, and UDP for HTTP/3).
 	HopAddress string `json:"hop_address"`
+	// HopAdvertise is the announced hop address. The default is HopAddress.
+	HopAdvertise string `json:"hop_advertise,omitempty"`
 	// OperatorAddress serves the operators' interface and the metrics (TCP).
 	OperatorAddress string `json:"operator_address"`
 	// BackendAddress is the backend server of this host.
@@ -151,6 +156,12 @@
 	if s.HopTransport == "" {
 		s.HopTransport = HTTP2
 	}
+	if s.ControlAdvertise == "" {
+		s.ControlAdvertise = s.ControlAddress
+	}
+	if s.HopAdvertise == "" {
+		s.HopAdvertise = s.HopAddress
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -183,6 +194,8 @@
 		{"hop_address", s.HopAddress},
 		{"operator_address", s.OperatorAddress},
 		{"backend_address", s.BackendAddress},
+		{"control_advertise", s.ControlAdvertise},
+		{"hop_advertise", s.HopAdvertise},
 	}
 	for _, address := range addresses {
 		if err := checkAddress(address.field, address.value); err != nil {
