--- a/bench/converge/converge.go
+++ b/bench/converge/converge.go
@@ -18,6 +18,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -33,16 +34,34 @@
 	StrategyDelta = "delta"
 )
 
-// ErrDaemonMissing reports that the experiment can't start daemons yet.
-var ErrDaemonMissing = errors.New("converge needs daemons, which this build can't start; build with marjoramsaddled")
+// The spans of a run that Setup leaves open.
+const (
+	DefaultSettle   = 12 * time.Second
+	DefaultIdle     = 10 * time.Second
+	DefaultInterval = time.Second
+)
 
 // Setup is what a run was asked for.
 type Setup struct {
 	Daemons  int
 	Changes  int
 	Strategy string
-	Fault    string
-	Seed     uint64
+	// Fault names faults, joined by "+", that are played in the middle third of
+	// the changes.
+	Fault string
+	Seed  uint64
+
+	// Proxies is the least number of proxy documents in the configuration.
+	Proxies int
+	// Settle is the time from serving to the first measurement, in which
+	// starting links are replaced. Idle is the time without changes. Interval
+	// is the time between changes.
+	Settle, Idle, Interval time.Duration
+	FirstPort              int
+	// Folder keeps logs and settings after the run; empty means a temporary one.
+	Folder string
+	// Notes receives what the report has no field for; nil discards it.
+	Notes io.Writer
 }
 
 // Check reports a setup that can't run.
@@ -53,15 +72,8 @@
 	if !slices.Contains([]string{StrategyPoll, StrategyFull, StrategyDelta}, s.Strategy) {
 		return fmt.Errorf("unknown strategy %q; use %s, %s or %s", s.Strategy, StrategyPoll, StrategyFull, StrategyDelta)
 	}
-	return nil
-}
-
-// Run starts a fleet, publishes the changes and measures their convergence.
-func Run(setup Setup) (Report, error) {
-	if err := setup.Check(); err != nil {
-		return Report{}, err
-	}
-	return Report{}, ErrDaemonMissing
+	_, err := parseFaults(s.Fault)
+	return err
 }
 
 // Publication is a version that the platform accepted.
@@ -79,6 +91,17 @@
 	Partial bool
 	// Dangling is the number of routes to services that the daemon lacks.
 	Dangling int
+
+	digest id.Digest
+	// refused is set when the daemon refused the view, which put nothing in force.
+	refused bool
+}
+
+// Episode is a fault as its hosts see it: until its end they can't get a
+// version, so convergence is counted from there.
+type Episode struct {
+	Until id.Instant
+	Hosts map[id.Host]bool
 }
 
 // Phase is a span of the run with the control bytes of all daemons in it.
@@ -93,6 +116,7 @@
 	Publications []Publication
 	Observations []Observation
 	Live         []id.Host
+	Episodes     []Episode
 	Idle         Phase // without changes
 	Changing     Phase // with all changes
 	// CPU is the CPU time of all daemons over Wall, without traffic.
@@ -132,6 +156,21 @@
 	percent            = 100
 )
 
+// promisedMs is the time within which a version is in force everywhere, also
+// through a fault.
+const promisedMs = 9_000
+
+// Check reports the promises that the run has broken.
+func (r Report) Check() error {
+	if r.Reverts > 0 || r.Partial > 0 || r.Dangling > 0 {
+		return fmt.Errorf("%d reverts, %d partial, %d dangling; see the daemons' logs", r.Reverts, r.Partial, r.Dangling)
+	}
+	if r.ConvergeMsMax > promisedMs {
+		return fmt.Errorf("a version took %.0f ms to converge, more than %d ms", r.ConvergeMsMax, promisedMs)
+	}
+	return nil
+}
+
 // NewReport sums up a run. It fails if a change has not converged, as its time
 // would be missing from the result.
 func NewReport(m Measurement) (Report, error) {
@@ -174,7 +213,7 @@
 			if !ok {
 				return fmt.Errorf("version %d never came into force on %s; see its log", publication.Version, host)
 			}
-			longest = max(longest, at.Sub(publication.Accepted))
+			longest = max(longest, at.Sub(m.available(host, publication.Accepted)))
 		}
 		if err := histogram.RecordValue(longest.Microseconds()); err != nil {
 			return fmt.Errorf("record convergence of version %d: %w", publication.Version, err)
@@ -186,6 +225,18 @@
 	return nil
 }
 
+// available returns from when a host could get a version that the platform
+// accepted at the given time.
+func (m *Measurement) available(host id.Host, accepted id.Instant) id.Instant {
+	from := accepted
+	for _, episode := range m.Episodes {
+		if episode.Hosts[host] && accepted < episode.Until {
+			from = max(from, episode.Until)
+		}
+	}
+	return from
+}
+
 // reached returns when a host first ran a version or a later one.
 func reached(history []Observation, version id.Version) (id.Instant, bool) {
 	for _, o := range history {
--- a/bench/fleet/documents.go
+++ b/bench/fleet/documents.go
@@ -53,9 +53,22 @@
 			Labels: label.Set{labelDomain: string(host.Domain), labelService: string(host.Service.Name)},
 		})
 	}
+	for i := len(l.Hosts); i < l.proxies; i++ {
+		documents = append(documents, l.absentProxy(i))
+	}
 	return documents
 }
 
+// absentProxy returns the document of a host that this fleet does not run.
+func (l *Layout) absentProxy(index int) document.Proxy {
+	domain, service := l.Domains[index%len(l.Domains)], l.Services[index%len(l.Services)].Name
+	return document.Proxy{
+		Kind:   document.KindProxy,
+		Name:   id.Host(fmt.Sprintf("%s-%s-%d", service, domain, index)),
+		Labels: label.Set{labelDomain: string(domain), labelService: string(service)},
+	}
+}
+
 // routes sends internal checks to the second service and all else to the first.
 func (l *Layout) routes() document.Configuration {
 	main, second := l.Services[0].Name, l.Services[1].Name
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -77,12 +77,15 @@
 
 // Host is one host with its addresses on loopback.
 type Host struct {
-	Name           id.Host
-	Domain         id.Domain
-	Region         id.Region
-	Service        Service
-	Caller         netip.AddrPort
-	Peer           netip.AddrPort
+	Name    id.Host
+	Domain  id.Domain
+	Region  id.Region
+	Service Service
+	Caller  netip.AddrPort
+	Peer    netip.AddrPort
+	// Announced is the control address that other hosts use. It is Peer unless
+	// a relay stands before it.
+	Announced      netip.AddrPort
 	Hop            netip.AddrPort
 	Operator       netip.AddrPort
 	Backend        netip.AddrPort
@@ -94,10 +97,30 @@
 	Daemons   int
 	Operator  Operator
 	FirstPort int
+	// Proxies is the least number of proxy documents. Those without a host in
+	// this fleet give the configuration the size of a larger one.
+	Proxies int
+	// Free reports whether a port can be used; nil takes all ports for free.
+	// Hosts skip blocks of ports that are taken, for example by outgoing
+	// connections.
+	Free func(port int) bool
+}
+
+// block returns the first free block of ports from the given one.
+func (o Options) block(first int) int {
+	for port := first; o.Free != nil && port < first+portsPerHost; port++ {
+		if !o.Free(port) {
+			first = port + 1
+		}
+	}
+	return first
 }
 
 // Layout is the plan of a fleet.
 type Layout struct {
+	// NextPort follows the ports of the last host.
+	NextPort int
+	proxies  int
 	Hosts    []Host
 	Domains  []id.Domain
 	Services []Service
@@ -116,10 +139,16 @@
 	if last := options.FirstPort + options.Daemons*portsPerHost; options.FirstPort < 1 || last > maxPort {
 		return nil, fmt.Errorf("ports %d to %d are out of range; choose a lower first port", options.FirstPort, last)
 	}
-	layout := &Layout{Domains: region.domains, Services: region.services}
+	layout := &Layout{Domains: region.domains, Services: region.services, proxies: options.Proxies}
 	sequence := serviceSequence(region.services, options.Daemons)
+	layout.NextPort = options.FirstPort
 	for i, service := range sequence {
-		layout.Hosts = append(layout.Hosts, newHost(region, service, i, options.FirstPort+i*portsPerHost))
+		first := options.block(layout.NextPort)
+		if first+portsPerHost > maxPort {
+			return nil, fmt.Errorf("no free ports for host %d; choose another first port", i)
+		}
+		layout.Hosts = append(layout.Hosts, newHost(region, service, i, first))
+		layout.NextPort = first + portsPerHost
 	}
 	return layout, nil
 }
@@ -152,6 +181,7 @@
 		Service:        service,
 		Caller:         loopback(firstPort + callerPort),
 		Peer:           loopback(firstPort + peerPort),
+		Announced:      loopback(firstPort + peerPort),
 		Hop:            loopback(firstPort + hopPort),
 		Operator:       loopback(firstPort + operatorPort),
 		Backend:        loopback(firstPort + backendPort),
--- a/bench/fleet/publish.go
+++ b/bench/fleet/publish.go
@@ -4,16 +4,19 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/manifest"
+	"marjoramsaddle/core/snapshot"
 )
 
 const (
@@ -22,6 +25,9 @@
 	hostStateLive  = "live"
 )
 
+// ErrWrittenFirst reports a lost compare-and-set.
+var ErrWrittenFirst = errors.New("another operator wrote it first; read it and publish again")
+
 // HostEntry is one host in the platform's list of a failure domain.
 type HostEntry struct {
 	Host  id.Host `json:"host"`
@@ -55,20 +61,79 @@
 // Change changes one document for the next Publish.
 func (p *Publisher) Change() { p.layout.change(p.documents, p.random) }
 
+// Publication is a version that the platform accepted.
+type Publication struct {
+	Version id.Version
+	// Accepted is the instant just before the write of the manifest.
+	Accepted id.Instant
+	Snapshot *snapshot.Snapshot
+}
+
 // Publish writes the parts, then the manifest with compare-and-set, and returns
 // the version that the platform gave it.
 func (p *Publisher) Publish(ctx context.Context) (id.Version, error) {
-	parts, err := split(p.documents)
+	publication, err := p.PublishSnapshot(ctx)
+	return publication.Version, err
+}
+
+// PublishSnapshot does the same and returns the content, too.
+func (p *Publisher) PublishSnapshot(ctx context.Context) (Publication, error) {
+	m, parts, err := p.writeParts(ctx, p.documents)
+	if err != nil {
+		return Publication{}, err
+	}
+	set, err := m.Assemble(parts)
+	if err != nil {
+		return Publication{}, fmt.Errorf("check documents: %w", err)
+	}
+	accepted := id.InstantOf(time.Now())
+	version, err := p.writeManifest(ctx, m)
+	if err != nil {
+		return Publication{}, err
+	}
+	return Publication{Version: version, Accepted: accepted, Snapshot: snapshot.New(version, set)}, nil
+}
+
+// PublishInvalid publishes a version with a route to a missing service, which
+// daemons have to refuse, and returns its version.
+func (p *Publisher) PublishInvalid(ctx context.Context) (id.Version, error) {
+	broken := p.layout.routes()
+	broken.Name = "broken"
+	broken.Routes = broken.Routes[:1]
+	broken.Routes[0].Service = "missing"
+	m, _, err := p.writeParts(ctx, append(slices.Clone(p.documents), broken))
 	if err != nil {
 		return 0, err
 	}
+	return p.writeManifest(ctx, m)
+}
+
+// Reread takes over the index of the manifest, as an operator does after
+// another one has published.
+func (p *Publisher) Reread(ctx context.Context) error {
+	var err error
+	p.index, err = p.modifyIndex(ctx, manifest.Key)
+	return err
+}
+
+func (p *Publisher) writeParts(ctx context.Context, documents []any) (manifest.Manifest, map[id.Digest][]byte, error) {
 	m := manifest.Manifest{Format: manifest.Format, Author: "marjoramsaddle-bench"}
-	for _, part := range parts {
+	split, err := split(documents)
+	if err != nil {
+		return m, nil, err
+	}
+	parts := make(map[id.Digest][]byte, len(split))
+	for _, part := range split {
 		m.Parts = append(m.Parts, part.Part)
+		parts[part.SHA256] = part.data
 		if err := p.writePart(ctx, part); err != nil {
-			return 0, err
+			return m, nil, err
 		}
 	}
+	return m, parts, nil
+}
+
+func (p *Publisher) writeManifest(ctx context.Context, m manifest.Manifest) (id.Version, error) {
 	data, err := json.Marshal(m)
 	if err != nil {
 		return 0, fmt.Errorf("encode manifest: %w", err)
@@ -76,7 +141,7 @@
 	if err := p.put(ctx, fmt.Sprintf("%s?cas=%d", manifest.Key, p.index), data); err != nil {
 		return 0, err
 	}
-	p.index, err = p.modifyIndex(ctx, manifest.Key)
+	err = p.Reread(ctx)
 	return id.Version(p.index), err
 }
 
@@ -116,7 +181,7 @@
 		return err
 	}
 	if strings.TrimSpace(string(body)) != "true" {
-		return fmt.Errorf("write %s: another operator wrote it first; read it and publish again", key)
+		return fmt.Errorf("write %s: %w", key, ErrWrittenFirst)
 	}
 	return nil
 }
--- a/bench/rig/rig.go
+++ b/bench/rig/rig.go
@@ -47,6 +47,8 @@
 	Platform        netip.AddrPort
 	PlatformControl netip.AddrPort
 	ServiceTime     time.Duration
+	// NoBackends starts the platform only.
+	NoBackends bool
 	// DrainNotice is the time for which backend servers go on accepting calls
 	// after they were asked to stop.
 	DrainNotice time.Duration
@@ -83,7 +85,7 @@
 	if err := r.startPlatform(); err != nil {
 		return err
 	}
-	for _, host := range r.options.Layout.Hosts {
+	for _, host := range r.backendHosts() {
 		if err := r.startBackend(host); err != nil {
 			return err
 		}
@@ -91,6 +93,13 @@
 	return r.waitReady(ctx)
 }
 
+func (r *Rig) backendHosts() []fleet.Host {
+	if r.options.NoBackends {
+		return nil
+	}
+	return r.options.Layout.Hosts
+}
+
 func (r *Rig) startPlatform() error {
 	started, err := r.Spawn(platformProgram, platformProgram,
 		"--listen", r.options.Platform.String(),
--- a/bench/sweep/sweep.go
+++ b/bench/sweep/sweep.go
@@ -6,10 +6,9 @@
 //	report, err := sweep.Run(sweep.Plan{
 //		Daemons:    []int{10, 20, 40},
 //		Strategies: []string{converge.StrategyFull, converge.StrategyDelta},
-//		Changes:    20,
-//		Seed:       1,
+//		Setup:      converge.Setup{Changes: 20, Seed: 1},
 //		Rounds:     3,
-//	}, converge.Run)
+//	}, run)
 package sweep
 
 import (
@@ -23,9 +22,9 @@
 type Plan struct {
 	Daemons    []int
 	Strategies []string
-	Changes    int
-	Seed       uint64
-	Fault      string
+	// Setup holds what all runs have in common; its seed is that of the first
+	// round.
+	Setup converge.Setup
 	// Rounds repeats the grid, each with its own seed.
 	Rounds int
 }
@@ -45,10 +44,9 @@
 	for round := range p.Rounds {
 		for _, daemons := range p.Daemons {
 			for _, strategy := range p.Strategies {
-				setup := converge.Setup{
-					Daemons: daemons, Changes: p.Changes, Strategy: strategy,
-					Fault: p.Fault, Seed: p.Seed + uint64(round),
-				}
+				setup := p.Setup
+				setup.Daemons, setup.Strategy = daemons, strategy
+				setup.Seed += uint64(round)
 				if err := setup.Check(); err != nil {
 					return nil, err
 				}
--- a/bench/sweep/sweep_test.go
+++ b/bench/sweep/sweep_test.go
@@ -14,7 +14,7 @@
 // sweeps that go on after a failed run.
 func TestSweepInterleavesStrategies(t *testing.T) {
 	is := is.New(t)
-	plan := sweep.Plan{Daemons: []int{2, 4}, Strategies: []string{"full", "delta"}, Changes: 1, Seed: 5, Rounds: 2}
+	plan := sweep.Plan{Daemons: []int{2, 4}, Strategies: []string{"full", "delta"}, Setup: converge.Setup{Changes: 1, Seed: 5}, Rounds: 2}
 	var setups []converge.Setup
 	report, err := sweep.Run(plan, func(setup converge.Setup) (converge.Report, error) {
 		setups = append(setups, setup)
@@ -36,6 +36,6 @@
 	is.True(errors.Is(err, failed))
 	is.Equal(runs, 1)
 	plan.Strategies = []string{"full", "unknown"}
-	_, err = sweep.Run(plan, converge.Run)
+	_, err = sweep.Run(plan, func(setup converge.Setup) (converge.Report, error) { return converge.Report{}, setup.Check() })
 	is.True(err != nil)
 }
--- a/cmd/marjoramsaddle-bench/converge.go
+++ b/cmd/marjoramsaddle-bench/converge.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	defaultDaemons = 13
-	defaultChanges = 20
+	defaultDaemons           = 13
+	defaultChanges           = 20
+	defaultConvergeFirstPort = 10_000 // below the range of ephemeral ports
 )
 
 func convergeCommand() *cobra.Command {
@@ -22,23 +23,39 @@
 			if err := checkOutput(cmd); err != nil {
 				return err
 			}
-			report, err := converge.Run(setup)
+			setup.Notes = cmd.ErrOrStderr()
+			report, err := converge.Run(cmd.Context(), setup)
 			if err != nil {
 				return err
 			}
-			return printJSON(cmd, report)
+			if err := printJSON(cmd, report); err != nil {
+				return err
+			}
+			return report.Check()
 		},
 	}
 	flags := cmd.Flags()
 	flags.IntVar(&setup.Daemons, "daemons", defaultDaemons, "number of daemons")
-	flags.IntVar(&setup.Changes, "changes", defaultChanges, "number of configuration changes")
-	flags.Uint64Var(&setup.Seed, "seed", 1, "seed of the changes")
 	flags.StringVar(&setup.Strategy, "strategy", converge.StrategyDelta, "poll, full or delta")
-	flags.StringVar(&setup.Fault, "fault", "", "name of the fault to play")
-	addOutput(cmd)
+	flags.StringVar(&setup.Folder, "folder", "", "folder that keeps the logs; a temporary one by default")
+	addSetup(cmd, &setup)
 	return cmd
 }
 
+// addSetup adds the flags that converge and sweep have in common.
+func addSetup(cmd *cobra.Command, setup *converge.Setup) {
+	flags := cmd.Flags()
+	flags.IntVar(&setup.Changes, "changes", defaultChanges, "number of configuration changes")
+	flags.Uint64Var(&setup.Seed, "seed", 1, "seed of the changes; later rounds take the next ones")
+	flags.StringVar(&setup.Fault, "fault", "", "faults to play, joined by +: "+converge.FaultNames())
+	flags.IntVar(&setup.Proxies, "proxies", 0, "least number of proxy documents in the configuration")
+	flags.DurationVar(&setup.Settle, "settle", converge.DefaultSettle, "time from serving to the first measurement")
+	flags.DurationVar(&setup.Idle, "idle", converge.DefaultIdle, "time without changes")
+	flags.DurationVar(&setup.Interval, "interval", converge.DefaultInterval, "time between changes")
+	flags.IntVar(&setup.FirstPort, "first-port", defaultConvergeFirstPort, "first of the ports on loopback")
+	addOutput(cmd)
+}
+
 func sweepCommand() *cobra.Command {
 	var plan sweep.Plan
 	cmd := &cobra.Command{
@@ -49,7 +66,11 @@
 			if err := checkOutput(cmd); err != nil {
 				return err
 			}
-			report, err := sweep.Run(plan, converge.Run)
+			plan.Setup.Notes = cmd.ErrOrStderr()
+			report, err := sweep.Run(plan, func(setup converge.Setup) (converge.Report, error) {
+				cmd.PrintErrf("sweep: %d daemons, strategy %s, seed %d\n", setup.Daemons, setup.Strategy, setup.Seed)
+				return converge.Run(cmd.Context(), setup)
+			})
 			if err != nil {
 				return err
 			}
@@ -59,10 +80,7 @@
 	flags := cmd.Flags()
 	flags.IntSliceVar(&plan.Daemons, "daemons", []int{defaultDaemons}, "numbers of daemons")
 	flags.StringSliceVar(&plan.Strategies, "strategies", []string{converge.StrategyFull, converge.StrategyDelta}, "strategies, run in turn")
-	flags.IntVar(&plan.Changes, "changes", defaultChanges, "number of configuration changes of each run")
-	flags.Uint64Var(&plan.Seed, "seed", 1, "seed of the first round")
 	flags.IntVar(&plan.Rounds, "rounds", 1, "repetitions of the grid, each with the next seed")
-	flags.StringVar(&plan.Fault, "fault", "", "name of the fault to play")
-	addOutput(cmd)
+	addSetup(cmd, &plan.Setup)
 	return cmd
 }
--- a/cmd/marjoramsaddle-bench/main_test.go
+++ b/cmd/marjoramsaddle-bench/main_test.go
@@ -29,7 +29,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	build := exec.Command("go", "build", "-o", folder+"/", "marjoramsaddle/cmd/marjoramsaddle-bench",
-		"marjoramsaddle/cmd/standin-backend", "marjoramsaddle/cmd/standin-platform")
+		"marjoramsaddle/cmd/standin-backend", "marjoramsaddle/cmd/standin-platform", "marjoramsaddle/cmd/marjoramsaddled")
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
