--- a/bench/fleet/settings.go
+++ b/bench/fleet/settings.go
@@ -19,16 +19,17 @@
 	origin := time.Now().Add(OriginDelay + time.Second).Truncate(time.Second).UTC()
 	return func(host Host, seeds []Host, files Files) any {
 		s := settings.Settings{
-			Host:            host.Name,
-			FailureDomain:   host.Domain,
-			Region:          host.Region,
-			Service:         host.Service.Name,
-			CallerAddress:   host.Caller.String(),
-			ControlAddress:  host.Peer.String(),
-			HopAddress:      host.Hop.String(),
-			OperatorAddress: host.Operator.String(),
-			BackendAddress:  host.Backend.String(),
-			PlatformURL:     platformURL,
+			Host:             host.Name,
+			FailureDomain:    host.Domain,
+			Region:           host.Region,
+			Service:          host.Service.Name,
+			CallerAddress:    host.Caller.String(),
+			ControlAddress:   host.Peer.String(),
+			ControlAdvertise: host.Announced.String(),
+			HopAddress:       host.Hop.String(),
+			OperatorAddress:  host.Operator.String(),
+			BackendAddress:   host.Backend.String(),
+			PlatformURL:      platformURL,
 
 			IdempotencyOrigin: origin.Format(time.RFC3339),
 			TLS: settings.TLS{
@@ -38,7 +39,7 @@
 			},
 		}
 		for _, seed := range seeds {
-			s.Seeds = append(s.Seeds, kernel.Seed{Host: seed.Name, Domain: seed.Domain, Address: seed.Peer.String()})
+			s.Seeds = append(s.Seeds, kernel.Seed{Host: seed.Name, Domain: seed.Domain, Address: seed.Announced.String()})
 		}
 		if change != nil {
 			change(&s)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -70,6 +70,7 @@
 		d.publishEndpoints(a.Entries)
 	case kernel.SetReady:
 		d.ready.Store(int32(a.Ready))
+		d.log.Named("daemon").Info("readiness changed", zap.Stringer("readiness", a.Ready))
 		if a.Ready == kernel.Resyncing {
 			d.gate.Resync(now())
 		}
@@ -98,6 +99,8 @@
 	if table := d.table.Load(); table != nil {
 		d.publishEndpoints(slices.Collect(maps.Values(*table)))
 	}
+	d.log.Named("spread").Info("version in force",
+		zap.Uint64("version", uint64(a.View.Version)), zap.Stringer("digest", a.View.Digest))
 }
 
 func (d *Daemon) publishEndpoints(entries []endpoint.Entry) {
