--- a/daemon/control.go
+++ b/daemon/control.go
@@ -49,6 +49,7 @@
 	at := now()
 	d.steppedAt.Store(int64(at))
 	d.recent.add(at, event)
+	d.recorder.add(at, event)
 	for _, action := range d.kernel.Step(at, event) {
 		d.perform(action)
 	}
