Measure what one daemon costs as the fleet grows

Cause: docs/CAPACITY.md has no figures, and no experiment takes one daemon at 5,400 endpoints and 930 services. Before: no command. After: marjoramsaddle-bench capacity runs one real daemon process among generated peers at three sizes, and two daemons under paced calls.

--- /dev/null
+++ b/bench/capacity/pure.go
@@ -0,0 +1,102 @@
+package capacity
+
+import (
+	"encoding/json"
+	"runtime"
+	"time"
+
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/snapshot"
+	"marjoramsaddle/core/topology"
+)
+
+// pureTime is how long each pure step is repeated.
+const pureTime = 150 * time.Millisecond
+
+// measurePure takes the steps of a change one by one, in this process and
+// with nothing else running in it. The garbage collector's time counts.
+func measurePure(size Size, seed uint64) (sample, error) {
+	w, err := newWorld(size, seed)
+	if err != nil {
+		return nil, err
+	}
+	before := w.current
+	next, err := w.change()
+	if err != nil {
+		return nil, err
+	}
+	delta, err := snapshot.Between(before, next)
+	if err != nil {
+		return nil, err
+	}
+	full, err := snapshot.Between(nil, next)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(w.documents())
+	if err != nil {
+		return nil, err
+	}
+	result := sample{"full_payload_bytes": float64(len(full.Payload)), "documents_bytes": float64(len(data))}
+	for _, each := range steps(w, before, next, delta, full, data) {
+		if result["pure_"+each.name+"_ms"], err = repeat(each.run); err != nil {
+			return nil, err
+		}
+	}
+	result["set_heap_mb"], err = heapOf(data)
+	return result, err
+}
+
+type pureStep struct {
+	name string
+	run  func() error
+}
+
+func steps(w *world, before, next *snapshot.Snapshot, delta, full snapshot.Delta, data []byte) []pureStep {
+	host := w.hosts[0]
+	return []pureStep{
+		{"apply_delta", func() error { _, err := delta.Apply(before); return err }},
+		{"apply_full", func() error { _, err := full.Apply(nil); return err }},
+		{"validate", func() error { return next.Documents().Validate() }},
+		{"digest", func() error { snapshot.New(next.Version, next.Documents()); return nil }},
+		{"view", func() error { next.View(host); return nil }},
+		{"encode_delta", func() error { _, err := snapshot.Between(before, next); return err }},
+		{"encode_full", func() error { _, err := snapshot.Between(nil, next); return err }},
+		{"decode_documents", func() error { return document.NewSet().Add("generated", data) }},
+		{"topology", func() error { topology.Of(w.table, host); return nil }},
+	}
+}
+
+// repeat returns the CPU time of one run in milliseconds.
+func repeat(run func() error) (float64, error) {
+	runtime.GC()
+	began, cpu := time.Now(), ownCPU()
+	count := 0
+	for count == 0 || time.Since(began) < pureTime {
+		if err := run(); err != nil {
+			return 0, err
+		}
+		count++
+	}
+	return milliseconds(ownCPU()-cpu) / float64(count), nil
+}
+
+// heapOf returns the live heap of one decoded set.
+func heapOf(data []byte) (float64, error) {
+	before := liveHeap()
+	set := document.NewSet()
+	if err := set.Add("generated", data); err != nil {
+		return 0, err
+	}
+	after := liveHeap()
+	runtime.KeepAlive(set)
+	return float64(after-before) / bytesPerMB, nil
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/cmd/marjoramsaddle-bench/main.go
+++ b/cmd/marjoramsaddle-bench/main.go
@@ -31,7 +31,7 @@
 		Short:        "Run experiments and print their results as JSON",
 		SilenceUsage: true,
 	}
-	cmd.AddCommand(convergeCommand(), loadCommand(), sweepCommand(), layoutCommand())
+	cmd.AddCommand(convergeCommand(), loadCommand(), sweepCommand(), layoutCommand(), capacityCommand())
 	return cmd
 }
 
