Take only blocks of free ports in the capacity experiment

Cause: the ports of a run may be held by short connections of other processes. Ruled out: other fixed ports; the given range lies within the ephemeral ports. Before: a run of three rounds ended with 'address already in use' on 36000. Conclusion: a port taken between the check and the start still ends the run.

--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -102,28 +102,36 @@
 			return err
 		}
 	}
-	port := r.setup.FirstPort + portsPerRun*len(r.setup.Sizes)
-	if err := r.add(r.links, func() (sample, error) { return measureLinks(port, r.setup.Links) }); err != nil {
+	free := newPorts(r.setup.FirstPort)
+	blocks := make([]int, len(r.setup.Sizes)+2)
+	for index := range blocks {
+		first, err := free.block()
+		if err != nil {
+			return err
+		}
+		blocks[index] = first
+	}
+	if err := r.add(r.links, func() (sample, error) { return measureLinks(blocks[0], r.setup.Links) }); err != nil {
 		return err
 	}
 	r.progress("round %d of %d: daemons", round+1, r.setup.Rounds)
-	return r.daemons(port)
+	return r.daemons(blocks[1:])
 }
 
-func (r *run) daemons(port int) error {
-	errs := make([]error, len(r.setup.Sizes)+1)
+func (r *run) daemons(blocks []int) error {
+	errs := make([]error, len(blocks))
 	var group sync.WaitGroup
 	for index, size := range r.setup.Sizes {
 		group.Go(func() {
 			errs[index] = r.add(r.sizes[index], func() (sample, error) {
-				return measureControl(r.setup, size, r.setup.FirstPort+portsPerRun*index)
+				return measureControl(r.setup, size, blocks[index])
 			})
 			r.progress("%d endpoints measured", size.Endpoints)
 		})
 	}
 	largest := r.setup.Sizes[len(r.setup.Sizes)-1]
 	group.Go(func() {
-		errs[len(r.setup.Sizes)] = r.add(r.calls, func() (sample, error) { return measureCalls(r.setup, largest, port) })
+		errs[len(r.setup.Sizes)] = r.add(r.calls, func() (sample, error) { return measureCalls(r.setup, largest, blocks[len(r.setup.Sizes)]) })
 		r.progress("calls measured")
 	})
 	group.Wait()
