Index configurations by label when a view is compiled

Cause: a view tried each configuration on each service, the square of the number of services, with every change. Ruled out: compiling only the changed policies, which needs a base view and rules for its reuse.

--- a/bench/capacity/capacity_test.go
+++ b/bench/capacity/capacity_test.go
@@ -69,3 +69,21 @@
 	}
 	is.Equal(circles, 2)
 }
+
+// BenchmarkSteps takes the steps of a change at the target size.
+func BenchmarkSteps(b *testing.B) {
+	m, err := newMaterial(Size{Endpoints: 5400, Services: 930}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, step := range m.steps() {
+		b.Run(step.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := step.run(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/bench/capacity/pure.go
+++ b/bench/capacity/pure.go
@@ -16,35 +16,46 @@
 // measurePure takes the steps of a change one by one, in this process and
 // with nothing else running in it. The garbage collector's time counts.
 func measurePure(size Size, seed uint64) (sample, error) {
-	w, err := newWorld(size, seed)
+	m, err := newMaterial(size, seed)
 	if err != nil {
 		return nil, err
 	}
-	before := w.current
-	next, err := w.change()
-	if err != nil {
-		return nil, err
+	result := sample{"full_payload_bytes": float64(len(m.full.Payload)), "documents_bytes": float64(len(m.data))}
+	for _, each := range m.steps() {
+		if result["pure_"+each.name+"_ms"], err = repeat(each.run); err != nil {
+			return nil, err
+		}
 	}
-	delta, err := snapshot.Between(before, next)
+	result["set_heap_mb"], err = heapOf(m.data)
+	return result, err
+}
+
+// material is one change of a generated fleet.
+type material struct {
+	world        *world
+	before, next *snapshot.Snapshot
+	delta, full  snapshot.Delta
+	// data holds all documents as the platform does.
+	data []byte
+}
+
+func newMaterial(size Size, seed uint64) (*material, error) {
+	w, err := newWorld(size, seed)
 	if err != nil {
 		return nil, err
 	}
-	full, err := snapshot.Between(nil, next)
-	if err != nil {
+	m := &material{world: w, before: w.current}
+	if m.next, err = w.change(); err != nil {
 		return nil, err
 	}
-	data, err := json.Marshal(w.documents())
-	if err != nil {
+	if m.delta, err = snapshot.Between(m.before, m.next); err != nil {
 		return nil, err
 	}
-	result := sample{"full_payload_bytes": float64(len(full.Payload)), "documents_bytes": float64(len(data))}
-	for _, each := range steps(w, before, next, delta, full, data) {
-		if result["pure_"+each.name+"_ms"], err = repeat(each.run); err != nil {
-			return nil, err
-		}
+	if m.full, err = snapshot.Between(nil, m.next); err != nil {
+		return nil, err
 	}
-	result["set_heap_mb"], err = heapOf(data)
-	return result, err
+	m.data, err = json.Marshal(w.documents())
+	return m, err
 }
 
 type pureStep struct {
@@ -52,18 +63,18 @@
 	run  func() error
 }
 
-func steps(w *world, before, next *snapshot.Snapshot, delta, full snapshot.Delta, data []byte) []pureStep {
-	host := w.hosts[0]
+func (m *material) steps() []pureStep {
+	host := m.world.hosts[0]
 	return []pureStep{
-		{"apply_delta", func() error { _, err := delta.Apply(before); return err }},
-		{"apply_full", func() error { _, err := full.Apply(nil); return err }},
-		{"validate", func() error { return next.Documents().Validate() }},
-		{"digest", func() error { snapshot.New(next.Version, next.Documents()); return nil }},
-		{"view", func() error { next.View(host); return nil }},
-		{"encode_delta", func() error { _, err := snapshot.Between(before, next); return err }},
-		{"encode_full", func() error { _, err := snapshot.Between(nil, next); return err }},
-		{"decode_documents", func() error { return document.NewSet().Add("generated", data) }},
-		{"topology", func() error { topology.Of(w.table, host); return nil }},
+		{"apply_delta", func() error { _, err := m.delta.Apply(m.before); return err }},
+		{"apply_full", func() error { _, err := m.full.Apply(nil); return err }},
+		{"validate", func() error { return m.next.Documents().Validate() }},
+		{"digest", func() error { snapshot.New(m.next.Version, m.next.Documents()); return nil }},
+		{"view", func() error { m.next.View(host); return nil }},
+		{"encode_delta", func() error { _, err := snapshot.Between(m.before, m.next); return err }},
+		{"encode_full", func() error { _, err := snapshot.Between(nil, m.next); return err }},
+		{"decode_documents", func() error { return document.NewSet().Add("generated", m.data) }},
+		{"topology", func() error { topology.Of(m.world.table, host); return nil }},
 	}
 }
 
--- a/core/snapshot/view.go
+++ b/core/snapshot/view.go
@@ -60,8 +60,9 @@
 	}
 	matching := s.matching(labels)
 	view.Routes = mergeRoutes(matching)
+	index := indexOf(matching)
 	for name, service := range s.set.Services {
-		view.Policies[name] = mergePolicy(service, matching)
+		view.Policies[name] = mergePolicy(service, index.candidates(service.Labels))
 	}
 	return view
 }
