Keep the keys of a set sorted and one zstd encoder per process

Cause: each change sorted all keys four times (apply, digest, validation and delta), rebuilt five maps entry by entry, and made a zstd encoder and decoder with their tables for one payload of some hundred bytes.

--- a/core/document/decode.go
+++ b/core/document/decode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 
 	"marjoramsaddle/core/id"
@@ -46,6 +47,8 @@
 	Canonical map[Key][]byte
 
 	files map[Key]string
+	// sorted holds the keys in order, but for those in added.
+	sorted, added []Key
 }
 
 // NewSet returns an empty set.
@@ -59,14 +62,31 @@
 	}
 }
 
-// Keys returns the keys of all documents in order.
+// Keys returns the keys of all documents in order. The caller must not change
+// them. The first call after an addition sorts and is not safe for concurrent
+// use; further calls are.
 func (s *Set) Keys() []Key {
-	keys := make([]Key, 0, len(s.Canonical))
-	for key := range s.Canonical {
-		keys = append(keys, key)
+	if len(s.added) == 0 {
+		return s.sorted
 	}
-	slices.SortFunc(keys, compareKeys)
-	return keys
+	slices.SortFunc(s.added, compareKeys)
+	s.sorted = merged(s.sorted, s.added)
+	s.added = nil
+	return s.sorted
+}
+
+// merged returns the union of two ordered lists without common keys.
+func merged(a, b []Key) []Key {
+	out := make([]Key, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		if a[0].Less(b[0]) {
+			out, a = append(out, a[0]), a[1:]
+		} else {
+			out, b = append(out, b[0]), b[1:]
+		}
+	}
+	out = append(out, a...)
+	return append(out, b...)
 }
 
 func compareKeys(a, b Key) int {
@@ -124,6 +144,7 @@
 	}
 	s.Canonical[key] = canonical
 	s.files[key] = file
+	s.added = append(s.added, key)
 	return nil
 }
 
@@ -180,21 +201,29 @@
 // Without returns a copy of the set that lacks the given documents. The copy
 // shares the documents themselves, which are never changed.
 func (s *Set) Without(dropped map[Key]bool) *Set {
-	out := NewSet()
-	for key, canonical := range s.Canonical {
-		if dropped[key] {
-			continue
-		}
-		out.Canonical[key] = canonical
-		out.files[key] = s.files[key]
-		switch key.Kind {
-		case KindService:
-			out.Services[id.Service(key.Name)] = s.Services[id.Service(key.Name)]
-		case KindProxy:
-			out.Proxies[id.Host(key.Name)] = s.Proxies[id.Host(key.Name)]
-		case KindConfiguration:
-			out.Configurations[key.Name] = s.Configurations[key.Name]
-		}
+	out := &Set{
+		Services:       maps.Clone(s.Services),
+		Proxies:        maps.Clone(s.Proxies),
+		Configurations: maps.Clone(s.Configurations),
+		Canonical:      maps.Clone(s.Canonical),
+		files:          maps.Clone(s.files),
+		sorted:         slices.DeleteFunc(slices.Clone(s.Keys()), func(key Key) bool { return dropped[key] }),
+	}
+	for key := range dropped {
+		out.remove(key)
 	}
 	return out
 }
+
+func (s *Set) remove(key Key) {
+	delete(s.Canonical, key)
+	delete(s.files, key)
+	switch key.Kind {
+	case KindService:
+		delete(s.Services, id.Service(key.Name))
+	case KindProxy:
+		delete(s.Proxies, id.Host(key.Name))
+	case KindConfiguration:
+		delete(s.Configurations, key.Name)
+	}
+}
--- a/core/snapshot/delta.go
+++ b/core/snapshot/delta.go
@@ -9,8 +9,6 @@
 
 	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/id"
-
-	"github.com/klauspost/compress/zstd"
 )
 
 // MaxPayloadBytes bounds a decompressed payload.
@@ -137,24 +135,3 @@
 	}
 	return changed, slices.Clone(list.Delete)
 }
-
-func compress(data []byte) ([]byte, error) {
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(false))
-	if err != nil {
-		return nil, fmt.Errorf("compress: %w", err)
-	}
-	return encoder.EncodeAll(data, nil), encoder.Close()
-}
-
-func decompress(data []byte) ([]byte, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(MaxPayloadBytes))
-	if err != nil {
-		return nil, fmt.Errorf("decompress: %w", err)
-	}
-	defer decoder.Close()
-	out, err := decoder.DecodeAll(data, nil)
-	if err != nil {
-		return nil, fmt.Errorf("decompress: %w", err)
-	}
-	return out, nil
-}
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -10,7 +10,6 @@
 
 import (
 	"crypto/sha256"
-	"fmt"
 
 	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/id"
@@ -35,10 +34,12 @@
 // digest hashes the sorted list of keys and document hashes.
 func digest(set *document.Set) id.Digest {
 	sum := sha256.New()
+	var row []byte
 	for _, key := range set.Keys() {
 		content := sha256.Sum256(set.Canonical[key])
-		_, _ = fmt.Fprintf(sum, "%s\x00%s\x00", key.Kind, key.Name)
-		sum.Write(content[:])
+		row = append(append(row[:0], key.Kind...), 0)
+		row = append(append(row, key.Name...), 0)
+		sum.Write(append(row, content[:]...))
 	}
 	return id.Digest(sum.Sum(nil))
 }
