--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -11,9 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
-
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/certificate"
@@ -68,27 +65,6 @@
 	return &Client{transport: transport, closeIdle: transport.CloseIdleConnections}
 }
 
-func newHTTP3Client(keys *certificate.Keys, lookup Lookup) *Client {
-	transport := &http3.Transport{
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxHeaderBytes,
-		QUICConfig: &quic.Config{
-			MaxIdleTimeout:             idleTimeout,
-			HandshakeIdleTimeout:       dialTimeout,
-			MaxStreamReceiveWindow:     maxReceiveWindow,
-			MaxConnectionReceiveWindow: 2 * maxReceiveWindow,
-		},
-		Dial: func(ctx context.Context, target string, _ *tls.Config, config *quic.Config) (*quic.Conn, error) {
-			host, address, err := resolve(lookup, target)
-			if err != nil {
-				return nil, err
-			}
-			return quic.DialAddrEarly(ctx, address, keys.Client(host, http3.NextProtoH3), config)
-		},
-	}
-	return &Client{transport: transport, closeIdle: transport.CloseIdleConnections}
-}
-
 func resolve(lookup Lookup, target string) (id.Host, string, error) {
 	name, _, err := net.SplitHostPort(target)
 	if err != nil {
@@ -130,6 +106,14 @@
 	return response, nil
 }
 
+// Exchange sends a message between daemons that is no call, such as a request
+// to record an idempotency key.
+func (c *Client) Exchange(host id.Host, request *http.Request) (*http.Response, error) {
+	request.URL.Scheme = "https"
+	request.URL.Host = string(host)
+	return c.transport.RoundTrip(request)
+}
+
 func classify(ctx context.Context, err error, sent bool) *refusal.Error {
 	outcome := refusal.NotRun
 	reason := refusal.ConnectFailed
