Record partitions and renew the traces of the proofs

Ruled out: relays in all scenarios; they would change what a refused connection to the platform looks like.

--- a/bench/record/scenario.go
+++ b/bench/record/scenario.go
@@ -21,6 +21,8 @@
 	"kill_readers":         prepared(killReaders),
 	"kill_readers_of_nine": prepared(killReaders),
 	"kill_fleet":           prepared(killFleet),
+	"partition":            partition(waitCut),
+	"partition_kill":       partition(killCut),
 	"pause":                prepared(pause),
 	"platform_down":        outage(platform.Faults{Outage: platform.OutageRefuse}),
 	"platform_limit":       outage(platform.Faults{OverLimit: true}),
