Prove again that a repaired part is never applied in part

Cause: the renewed trace of part_repaired was of a daemon that read no part, so its case with the mechanism off had been dropped. Ruled out: a case for promise 9 with AcceptOlder in kill_domain_stale: the late version misses its time only because the trace lacks the parts that the daemon would ask for, which proves nothing. Before: 12 replays with a mechanism off. After: 13, as before the traces were renewed.

--- a/proofs/proofs_test.go
+++ b/proofs/proofs_test.go
@@ -85,6 +85,7 @@
 		{"torn/counter-ebene-4.1", partial, trace.NeverPartial},
 		{"bad_hash/depot-rose-hill-5.1", partial, trace.NeverPartial},
 		{"bad_missing/depot-rose-hill-5.1", partial, trace.NeverPartial},
+		{"part_repaired/depot-ebene-1.1", partial, trace.NeverPartial},
 		{"two_operators/counter-ebene-4.1", partial, trace.NeverPartial},
 		{"pause/depot-ebene-1.1", kernel.Options{NoResync: true}, trace.AfterPause},
 	}
