Bound the memory of slow answers on the hop

Cause: net/http lets each HTTP/2 answer hold 4 MiB unread, and HTTP/3 the same, so a daemon's memory grew with the number of slow readers. Ruled out: the copy buffers (32 KiB an answer); the daemon beside the backend server stayed at 28 MB. Before: 20 readers of 100 MB at 4 MB/s through two daemons (HTTP/2): 113248 kB RSS of the entry daemon at most, of 128 MB allowed. Conclusion: 256 KiB a stream, and a connection window for 130 such streams, so slow readers don't block other calls.

--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -23,9 +23,12 @@
 	// idleTimeout closes connections that carry no calls, so that a daemon
 	// holds connections only to the hosts that it calls at present.
 	idleTimeout = 30 * time.Second
-	// maxReceiveWindow bounds the memory of one HTTP/3 answer whose caller
-	// reads slowly.
-	maxReceiveWindow = 4 << 20
+	// streamWindow bounds the memory of one answer whose caller reads slowly.
+	// The 4 MiB that net/http allows took 113 MB for 20 slow readers.
+	streamWindow = 256 << 10
+	// connectionWindow has room for the windows of as many answers as a backend
+	// server has connections, so that slow readers don't block other calls.
+	connectionWindow = 130 * streamWindow
 )
 
 // Lookup returns the hop address of a host.
@@ -53,6 +56,10 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerStream:     streamWindow,
+			MaxReceiveBufferPerConnection: connectionWindow,
+		},
 		DialTLSContext: func(ctx context.Context, _, target string) (net.Conn, error) {
 			host, address, err := resolve(lookup, target)
 			if err != nil {
--- a/io/hop/http3.go
+++ b/io/hop/http3.go
@@ -41,8 +41,9 @@
 		config: &quic.Config{
 			MaxIdleTimeout:             idleTimeout,
 			HandshakeIdleTimeout:       dialTimeout,
-			MaxStreamReceiveWindow:     maxReceiveWindow,
-			MaxConnectionReceiveWindow: 2 * maxReceiveWindow,
+			InitialStreamReceiveWindow: streamWindow,
+			MaxStreamReceiveWindow:     streamWindow,
+			MaxConnectionReceiveWindow: connectionWindow,
 		},
 		keys:   keys,
 		lookup: lookup,
--- a/io/hop/server.go
+++ b/io/hop/server.go
@@ -47,8 +47,9 @@
 			TLSConfig:      http3.ConfigureTLSConfig(keys.Server("h3")),
 			QUICConfig: &quic.Config{
 				MaxIdleTimeout:             2 * idleTimeout,
-				MaxStreamReceiveWindow:     maxReceiveWindow,
-				MaxConnectionReceiveWindow: 2 * maxReceiveWindow,
+				InitialStreamReceiveWindow: streamWindow,
+				MaxStreamReceiveWindow:     streamWindow,
+				MaxConnectionReceiveWindow: connectionWindow,
 			},
 		},
 		ended: make(chan struct{}),
