Repeat lookups that the backend server has shed

Cause: the backend server frees a slot a little after its answer is read, so a call that follows at once can be shed with 503. That answer went to the caller as one that ran, and lookups were not repeated. Ruled out: claiming not run; the backend server's word does not prove it. After: such an answer is the refusal backend_shed with an unknown outcome; the test of io/backend covers it. Conclusion: lookups go elsewhere, orders are reported as unknown.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -150,6 +150,10 @@
 	if err != nil {
 		return nil, s.classify(ctx, err, connected.Load())
 	}
+	if shed(response) {
+		_ = response.Body.Close()
+		return nil, refusal.New(refusal.BackendShed, refusal.Unknown)
+	}
 	if hop.OpenEnded(response) {
 		_ = response.Body.Close()
 		return nil, refusal.Wrap(refusal.BackendBroken, refusal.Unknown, hop.ErrOpenEnded)
@@ -168,6 +172,13 @@
 	return response, nil
 }
 
+// shed reports whether the backend server has refused the request for want of
+// capacity. Its word proves nothing, so the outcome is unknown: lookups are
+// repeated elsewhere, orders are not.
+func shed(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+}
+
 // errOtherCall reports an answer that names another call than its request.
 var errOtherCall = errors.New("backend: the answer belongs to another call")
 
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -117,6 +117,7 @@
 		{"garbage", "\x00\xff not http\r\n\r\n", refusal.BackendBroken},
 		{"open end", "HTTP/1.1 200 OK\r\n\r\nok", refusal.BackendBroken},
 		{"other call", "HTTP/1.1 200 OK\r\nMarjoramsaddle-Call-Id: c2\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"shed", "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", refusal.BackendShed},
 		{"long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*hop.MaxHeaderBytes) + "\r\n\r\n", refusal.BackendBroken},
 	}
 	for _, c := range cases {
