--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -58,7 +58,7 @@
 	return issuer
 }
 
-// freeAddress returns an address that is free for TCP and very likely for UDP.
+// freeAddress returns an address that is free for TCP and most often for UDP.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -71,8 +71,14 @@
 
 func serve(t testing.TB, keys *certificate.Keys, handler http.Handler) string {
 	t.Helper()
-	address := freeAddress(t)
-	server, err := hop.Serve(address, keys, handler)
+	var address string
+	var server *hop.Server
+	err := errors.New("not started")
+	// Other programs may hold the UDP port of a free TCP port.
+	for attempt := 0; err != nil && attempt < 10; attempt++ {
+		address = freeAddress(t)
+		server, err = hop.Serve(address, keys, handler)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
