--- a/daemon/control.go
+++ b/daemon/control.go
@@ -47,7 +47,9 @@
 
 func (d *Daemon) step(event kernel.Event) {
 	at := now()
+	d.steppedAt.Store(int64(at))
 	d.recent.add(at, event)
+	d.recorder.add(at, event)
 	for _, action := range d.kernel.Step(at, event) {
 		d.perform(action)
 	}
@@ -69,6 +71,7 @@
 		d.publishEndpoints(a.Entries)
 	case kernel.SetReady:
 		d.ready.Store(int32(a.Ready))
+		d.log.Named("daemon").Info("readiness changed", zap.Stringer("readiness", a.Ready))
 		if a.Ready == kernel.Resyncing {
 			d.gate.Resync(now())
 		}
@@ -97,6 +100,8 @@
 	if table := d.table.Load(); table != nil {
 		d.publishEndpoints(slices.Collect(maps.Values(*table)))
 	}
+	d.log.Named("spread").Info("version in force",
+		zap.Uint64("version", uint64(a.View.Version)), zap.Stringer("digest", a.View.Digest))
 }
 
 func (d *Daemon) publishEndpoints(entries []endpoint.Entry) {
@@ -111,6 +116,7 @@
 	}
 	d.table.Store(&table)
 	d.backend.SetLeaving(table[d.settings.Host].State == endpoint.Leaving)
+	d.publishHosts(entries)
 	d.chooser.SetEndpoints(entries)
 }
 
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"marjoramsaddle/core/balance"
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 )
@@ -36,8 +37,13 @@
 	CallerAddress string `json:"caller_address"`
 	// ControlAddress accepts control links (UDP).
 	ControlAddress string `json:"control_address"`
+	// ControlAdvertise is the control address that the daemon announces, where
+	// peers reach it by another one. The default is ControlAddress.
+	ControlAdvertise string `json:"control_advertise,omitempty"`
 	// HopAddress accepts calls from other daemons (TCP, and UDP for HTTP/3).
 	HopAddress string `json:"hop_address"`
+	// HopAdvertise is the announced hop address. The default is HopAddress.
+	HopAdvertise string `json:"hop_advertise,omitempty"`
 	// OperatorAddress serves the operators' interface and the metrics (TCP).
 	OperatorAddress string `json:"operator_address"`
 	// BackendAddress is the backend server of this host.
@@ -56,8 +62,14 @@
 	DrainMS int `json:"drain_ms,omitempty"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level,omitempty"`
+	// IdempotencyOrigin is a time before which no idempotency key was used, in
+	// RFC 3339. Keys are refused until then.
+	IdempotencyOrigin string `json:"idempotency_origin,omitempty"`
 	// TraceEvents is the number of recent kernel events that are kept.
 	TraceEvents int `json:"trace_events,omitempty"`
+	// TraceFile receives every kernel event from the start; empty means none.
+	// The file grows without bound.
+	TraceFile string `json:"trace_file,omitempty"`
 
 	Experiment Experiment `json:"experiment,omitempty"`
 }
@@ -82,6 +94,11 @@
 	AcceptOlder bool   `json:"accept_older,omitempty"`
 	// NoRetryBudget lets retries exceed their budget.
 	NoRetryBudget bool `json:"no_retry_budget,omitempty"`
+	// NoRecords sends calls with an idempotency key like calls without one.
+	NoRecords bool `json:"no_records,omitempty"`
+	// SettleMS replaces the time in which hosts learn of each other after their
+	// start, so that tests need not wait for it.
+	SettleMS int `json:"settle_ms,omitempty"`
 }
 
 // The values of fields that are not set.
@@ -152,6 +169,12 @@
 	if s.HopTransport == "" {
 		s.HopTransport = HTTP2
 	}
+	if s.ControlAdvertise == "" {
+		s.ControlAdvertise = s.ControlAddress
+	}
+	if s.HopAdvertise == "" {
+		s.HopAdvertise = s.HopAddress
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -184,6 +207,8 @@
 		{"hop_address", s.HopAddress},
 		{"operator_address", s.OperatorAddress},
 		{"backend_address", s.BackendAddress},
+		{"control_advertise", s.ControlAdvertise},
+		{"hop_advertise", s.HopAdvertise},
 	}
 	for _, address := range addresses {
 		if err := checkAddress(address.field, address.value); err != nil {
@@ -225,6 +250,9 @@
 	if _, ok := balance.ParsePolicy(s.Experiment.Balance); !ok {
 		return &Error{Field: "experiment.balance", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Balance), Remedy: "use least_loaded, round_robin or random"}
 	}
+	if _, err := time.Parse(time.RFC3339, s.IdempotencyOrigin); err != nil && s.IdempotencyOrigin != "" {
+		return &Error{Field: "idempotency_origin", Problem: fmt.Sprintf("%q is not a time", s.IdempotencyOrigin), Remedy: "write it like 2026-01-31T08:00:00Z"}
+	}
 	if s.DrainMS < 0 || s.TraceEvents < 0 {
 		return &Error{Field: "drain_ms, trace_events", Problem: "negative", Remedy: "use 0 or more"}
 	}
@@ -255,6 +283,37 @@
 	}
 }
 
+// Origin returns the time before which no idempotency key was used, or zero.
+func (s *Settings) Origin() id.Instant {
+	at, err := time.Parse(time.RFC3339, s.IdempotencyOrigin)
+	if err != nil {
+		return 0
+	}
+	return id.InstantOf(at)
+}
+
+// Environment returns what the kernel of a process knows that has started at
+// the given time.
+func (s *Settings) Environment(started id.Instant) kernel.Environment {
+	return kernel.Environment{
+		Self: endpoint.Entry{
+			Host:        s.Host,
+			Domain:      s.FailureDomain,
+			Region:      s.Region,
+			Service:     s.Service,
+			Control:     s.ControlAdvertise,
+			Hop:         s.HopAdvertise,
+			Incarnation: id.Incarnation(started),
+			Sequence:    1,
+			Started:     started,
+		},
+		Seeds:       s.Seeds,
+		RandomSeed:  uint64(started),
+		HasPlatform: s.PlatformURL != "",
+		Options:     s.Options(),
+	}
+}
+
 // DrainDeadline returns when a graceful shutdown that starts at now ends at
 // the latest.
 func (s *Settings) DrainDeadline(now time.Time) time.Time {
