Tell doubled calls of the mesh from repeats of callers

Cause: doubled counts keys that ran twice. The workload repeats 5% of the keyed calls itself, and the mesh does not recognise such repeats yet. Ruled out: leaving the repeats out of the workload. After: standard error states the calls that ran twice without a repeat of the caller.

--- a/bench/load/compare.go
+++ b/bench/load/compare.go
@@ -12,6 +12,9 @@
 type Comparison struct {
 	// Doubled is the number of idempotency keys that ran more than once.
 	Doubled int
+	// DoubledByMesh is the number of calls with a key that ran more than once.
+	// Repeats of the caller have other ids and don't count here.
+	DoubledByMesh int
 	// Lost is the number of answered calls that no backend server ran.
 	Lost int
 	// RanThoughRefused is the number of calls that ran although their caller was
@@ -48,6 +51,7 @@
 	index := newIndex(records, journals)
 	comparison := Comparison{
 		Doubled:           index.doubled(),
+		DoubledByMesh:     index.doubledByMesh(),
 		ExtraAttempts:     index.extraAttempts(),
 		NewWorkAfterLeave: index.newWorkAfterLeave(),
 		ServiceTimes:      index.serviceTimes(),
@@ -96,6 +100,22 @@
 	return doubled
 }
 
+func (index journalIndex) doubledByMesh() int {
+	doubled := 0
+	for _, attempts := range index.byCall {
+		runs := 0
+		for _, a := range attempts {
+			if a.row.Ran && a.row.IdempotencyKey != "" {
+				runs++
+			}
+		}
+		if runs > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
+
 func (index journalIndex) extraAttempts() int {
 	extra := 0
 	for _, attempts := range index.byCall {
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -269,6 +269,7 @@
 	is := is.New(t)
 	got := load.Compare(records, journals)
 	is.Equal(got.Doubled, 1)
+	is.Equal(got.DoubledByMesh, 0)
 	is.Equal(got.Lost, 1)
 	is.Equal(got.RanThoughRefused, 1)
 	is.Equal(got.LostInStop, 1)
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -37,6 +37,7 @@
 	RetriesShare           float64        `json:"retries_share"`
 	NewWorkAfterLeaveMsMax float64        `json:"new_work_after_leave_ms_max"`
 	Refusals               map[string]int `json:"refusals"`
+	DoubledByMesh          int            `json:"-"` // without repeats of the caller
 	UnknownDetails         map[string]int `json:"-"`
 	Resent                 int            `json:"-"`
 	WithoutAddedLatency    int            `json:"-"` // answered calls without exactly one finished row
@@ -49,6 +50,7 @@
 	report := Report{
 		Calls:                  len(records),
 		Doubled:                comparison.Doubled,
+		DoubledByMesh:          comparison.DoubledByMesh,
 		LostInStop:             comparison.LostInStop,
 		WrongAnswers:           comparison.Lost + comparison.RanThoughRefused,
 		NewWorkAfterLeaveMsMax: float64(comparison.NewWorkAfterLeave) / float64(time.Millisecond),
