Count a call that the mesh doubled in the test of the comparison

Cause: the test had no call that ran twice under one id and key. Ruled out: nothing else. Before: DoubledByMesh was only tested as 0. After: one such call; the expected totals grow by it. Conclusion: the counts are tested apart.

--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -242,6 +242,8 @@
 			row("refused", "k3", true, 10, 20),
 			row("failed", "", true, 10, 20),
 			row("shed", "", false, 10, 20),
+			row("again", "k6", true, 10, 20),
+			row("again", "k6", true, 30, 40),
 		}},
 		{DrainUnixNs: 100, Rows: []backend.Row{
 			row("double-twin", "k2", true, 40, 50),
@@ -261,6 +263,7 @@
 		record("refused", "k3", load.RefusedNotRun),
 		record("never", "k9", load.OK),
 		record("failed", "", load.Unknown),
+		record("again", "k6", load.OK),
 		record("shed", "", load.OK),
 		record("cut", "k4", load.Unknown),
 		record("late", "k5", load.OK),
@@ -268,12 +271,12 @@
 	}
 	is := is.New(t)
 	got := load.Compare(records, journals)
-	is.Equal(got.Doubled, 1)
-	is.Equal(got.DoubledByMesh, 0)
+	is.Equal(got.Doubled, 2)
+	is.Equal(got.DoubledByMesh, 1)
 	is.Equal(got.Lost, 1)
 	is.Equal(got.RanThoughRefused, 1)
 	is.Equal(got.LostInStop, 1)
-	is.Equal(got.ExtraAttempts, 1)
+	is.Equal(got.ExtraAttempts, 2)
 	is.Equal(got.NewWorkAfterLeave, 30*time.Nanosecond)
 	is.Equal(got.ServiceTimes["good"], 20*time.Nanosecond)
 	_, several := got.ServiceTimes["shed"]
@@ -281,7 +284,7 @@
 	report := load.NewReport(records, got, 5, load.Plan{Duration: 2 * time.Second})
 	is.Equal(report.WrongAnswers, 2)
 	is.Equal(report.Truncated, 1)
-	is.Equal(report.GoodputShare, 0.6)
+	is.Equal(report.GoodputShare, 0.7)
 	is.Equal(report.AddedMsP99, 1.0)
 	is.Equal(report.Refusals, map[string]int{"r": 1})
 }
