Let a draining daemon close the connections of its callers

Cause: hop.CopyHeader deleted the connection headers of its target, and so the Connection: close that io/caller sets while the daemon drains. Answered calls kept their connections until the listener closed them. Ruled out: setting the header after the copy; any other header of the connection would be lost the same way. Before: TestDrainingClosesConnections fails: the answer keeps its connection. After: it passes. Conclusion: connection headers are left out while copying instead of deleted afterwards.

--- a/io/caller/edge_test.go
+++ b/io/caller/edge_test.go
@@ -217,3 +217,19 @@
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("connection lost") }
+
+// Guards against callers that keep using a daemon which is about to stop, so
+// that a request meets a closed connection.
+func TestDrainingClosesConnections(t *testing.T) {
+	is := is.New(t)
+	m := &mesh{ready: kernel.Draining, answer: func(*http.Request) (*http.Response, *refusal.Error) {
+		return ran(strings.NewReader("ok"), 2)
+	}}
+	response, err := http.Get("http://" + serve(t, m) + "/stock/1")
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(string(body), "ok")
+	is.True(response.Close)
+}
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -19,19 +20,26 @@
 	HeaderReplayed,
 }
 
-// CopyHeader copies the end-to-end headers from one message to another.
+// CopyHeader copies the end-to-end headers from one message to another. It
+// leaves the connection headers that the other one has already.
 func CopyHeader(into, from http.Header) {
 	for name, values := range from {
-		into[name] = append([]string(nil), values...)
-	}
-	for _, list := range from.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			into.Del(strings.TrimSpace(name))
+		if !slices.Contains(hopByHop, name) && !listed(from, name) {
+			into[name] = append([]string(nil), values...)
 		}
 	}
-	for _, name := range hopByHop {
-		into.Del(name)
+}
+
+// listed reports whether the Connection header names the header.
+func listed(header http.Header, name string) bool {
+	for _, list := range header.Values("Connection") {
+		for one := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(one), name) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // DropInternal removes the headers that only daemons set, so that a caller or
