Take single free ports in the capacity experiment

Cause: the ports of a run lie within the ephemeral range, and on a loaded machine no block of 50 was free. Ruled out: ports outside of the given range. After: each port is checked by itself. Conclusion: a port taken between the check and its use still ends the run.

--- a/bench/capacity/calls.go
+++ b/bench/capacity/calls.go
@@ -40,7 +40,7 @@
 // calls is a caller, an entry daemon, a target daemon and its backend server.
 type calls struct {
 	setup     Setup
-	port      int
+	ports     []int
 	folder    string
 	entry     *process.Process
 	target    *process.Process
@@ -53,7 +53,7 @@
 }
 
 // measureCalls takes the entry and the target daemon under paced calls.
-func measureCalls(setup Setup, size Size, port int) (sample, error) {
+func measureCalls(setup Setup, size Size, ports []int) (sample, error) {
 	folder, err := os.MkdirTemp("", "capacity-calls-")
 	if err != nil {
 		return nil, err
@@ -61,8 +61,8 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	transport := &http.Transport{MaxIdleConnsPerHost: openCalls, MaxConnsPerHost: 2 * openCalls}
 	defer transport.CloseIdleConnections()
-	c := &calls{setup: setup, port: port, folder: folder, client: &http.Client{Transport: transport}, result: sample{}}
-	if c.platform, err = platform.Start(platform.Options{Address: address(port), ControlAddress: address(port + 1)}); err != nil {
+	c := &calls{setup: setup, ports: ports, folder: folder, client: &http.Client{Transport: transport}, result: sample{}}
+	if c.platform, err = platform.Start(platform.Options{Address: address(ports[platformPort]), ControlAddress: address(ports[platformPort+1])}); err != nil {
 		return nil, err
 	}
 	defer func() { _ = c.platform.Close() }()
@@ -99,10 +99,14 @@
 	return nil
 }
 
-// hostPorts is the distance between the ports of the two daemons.
-const hostPorts = 10
+// platformPort is the place of the platform's two ports, after those of the
+// two daemons.
+const platformPort = 2 * firstPeerPort
 
-func (c *calls) base(index int) int { return c.port + hostPorts*(index+1) }
+// address returns an address of one of the two daemons.
+func (c *calls) address(index, place int) string {
+	return address(c.ports[index*firstPeerPort+place])
+}
 
 func (c *calls) start(index int, issuer *authority.Authority) (*process.Process, error) {
 	dir := filepath.Join(c.folder, string(c.hosts[index]))
@@ -113,13 +117,13 @@
 	if err := issuer.Write(dir, identity); err != nil {
 		return nil, err
 	}
-	base, other := c.base(index), 1-index
+	other := 1 - index
 	s := settings.Settings{
 		Host: c.hosts[index], FailureDomain: domainName(index), Service: serviceName(index),
-		CallerAddress: address(base + callerPort), ControlAddress: address(base + controlPort), HopAddress: address(base + hopPort),
-		OperatorAddress: address(base + operatorPort), BackendAddress: address(base + backendPort),
+		CallerAddress: c.address(index, callerPort), ControlAddress: c.address(index, controlPort), HopAddress: c.address(index, hopPort),
+		OperatorAddress: c.address(index, operatorPort), BackendAddress: c.address(index, backendPort),
 		PlatformURL: "http://" + c.platform.Address(), TLS: tlsOf(dir), LogLevel: "warn",
-		Seeds: []kernel.Seed{{Host: c.hosts[other], Domain: domainName(other), Address: address(c.base(other) + controlPort)}},
+		Seeds: []kernel.Seed{{Host: c.hosts[other], Domain: domainName(other), Address: c.address(other, controlPort)}},
 	}
 	data, err := json.Marshal(s)
 	if err != nil {
@@ -138,7 +142,7 @@
 
 func (c *calls) run() error {
 	for index := range c.hosts {
-		stop, err := serveBackend(address(c.base(index) + backendPort))
+		stop, err := serveBackend(c.address(index, backendPort))
 		if err != nil {
 			return err
 		}
@@ -172,7 +176,7 @@
 
 // url calls the service of the other host, so that the call takes the hop.
 func (c *calls) url() string {
-	return "http://" + address(c.base(0)+callerPort) + "/" + string(serviceName(1)) + "/stock"
+	return "http://" + c.address(0, callerPort) + "/" + string(serviceName(1)) + "/stock"
 }
 
 func (c *calls) call(waitMS int) error {
--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -103,35 +103,38 @@
 		}
 	}
 	free := newPorts(r.setup.FirstPort)
-	blocks := make([]int, len(r.setup.Sizes)+2)
-	for index := range blocks {
-		first, err := free.block()
-		if err != nil {
-			return err
-		}
-		blocks[index] = first
+	linkPorts, err := free.take(r.setup.Links + 1)
+	if err != nil {
+		return err
 	}
-	if err := r.add(r.links, func() (sample, error) { return measureLinks(blocks[0], r.setup.Links) }); err != nil {
+	if err := r.add(r.links, func() (sample, error) { return measureLinks(linkPorts) }); err != nil {
 		return err
 	}
 	r.progress("round %d of %d: daemons", round+1, r.setup.Rounds)
-	return r.daemons(blocks[1:])
+	return r.daemons(free)
 }
 
-func (r *run) daemons(blocks []int) error {
-	errs := make([]error, len(blocks))
+func (r *run) daemons(free *ports) error {
+	errs := make([]error, len(r.setup.Sizes)+1)
+	lists := make([][]int, len(errs))
+	for index := range lists {
+		var err error
+		if lists[index], err = free.take(portsPerRun); err != nil {
+			return err
+		}
+	}
 	var group sync.WaitGroup
 	for index, size := range r.setup.Sizes {
 		group.Go(func() {
 			errs[index] = r.add(r.sizes[index], func() (sample, error) {
-				return measureControl(r.setup, size, blocks[index])
+				return measureControl(r.setup, size, lists[index])
 			})
 			r.progress("%d endpoints measured", size.Endpoints)
 		})
 	}
 	largest := r.setup.Sizes[len(r.setup.Sizes)-1]
 	group.Go(func() {
-		errs[len(r.setup.Sizes)] = r.add(r.calls, func() (sample, error) { return measureCalls(r.setup, largest, blocks[len(r.setup.Sizes)]) })
+		errs[len(r.setup.Sizes)] = r.add(r.calls, func() (sample, error) { return measureCalls(r.setup, largest, lists[len(r.setup.Sizes)]) })
 		r.progress("calls measured")
 	})
 	group.Wait()
--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -42,7 +42,7 @@
 	bytesPerMB  = 1e6
 )
 
-// The ports of a run, counted from its first one.
+// The places of the ports of a daemon in the list of its run.
 const (
 	callerPort = iota
 	controlPort
@@ -50,13 +50,13 @@
 	operatorPort
 	backendPort
 	firstPeerPort
-	portsPerRun = 50
+	portsPerRun = firstPeerPort + manyLinks
 )
 
 // control is one daemon process among generated peers.
 type control struct {
 	setup   Setup
-	port    int
+	ports   []int
 	folder  string
 	issuer  *authority.Authority
 	world   *world
@@ -70,13 +70,13 @@
 type sample map[string]float64
 
 // measureControl runs all control phases at one size.
-func measureControl(setup Setup, size Size, port int) (sample, error) {
+func measureControl(setup Setup, size Size, ports []int) (sample, error) {
 	folder, err := os.MkdirTemp("", "capacity-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	c := &control{setup: setup, port: port, folder: folder, result: sample{}}
+	c := &control{setup: setup, ports: ports, folder: folder, result: sample{}}
 	if c.world, err = newWorld(size, setup.Seed); err != nil {
 		return nil, err
 	}
@@ -97,7 +97,7 @@
 	}
 	var view topology.View
 	c.self, view = c.world.leaf()
-	c.self.Control, c.self.Hop = address(c.port+controlPort), address(c.port+hopPort)
+	c.self.Control, c.self.Hop = address(c.ports[controlPort]), address(c.ports[hopPort])
 	c.place(c.self)
 	if c.peers, err = newPeers(c.self, c.world); err != nil {
 		return err
@@ -123,7 +123,7 @@
 
 func (c *control) addPeer(host id.Host) error {
 	entry, _ := c.world.table.Get(host)
-	entry.Control = address(c.port + firstPeerPort + len(c.peers.list))
+	entry.Control = address(c.ports[firstPeerPort+len(c.peers.list)])
 	c.place(entry)
 	return c.peers.add(c.folder, c.issuer, entry)
 }
@@ -152,8 +152,8 @@
 	}
 	s := settings.Settings{
 		Host: c.self.Host, FailureDomain: c.self.Domain, Region: c.self.Region, Service: c.self.Service,
-		CallerAddress: address(c.port + callerPort), ControlAddress: c.self.Control, HopAddress: c.self.Hop,
-		OperatorAddress: address(c.port + operatorPort), BackendAddress: address(c.port + backendPort),
+		CallerAddress: address(c.ports[callerPort]), ControlAddress: c.self.Control, HopAddress: c.self.Hop,
+		OperatorAddress: address(c.ports[operatorPort]), BackendAddress: address(c.ports[backendPort]),
 		TLS: tlsOf(c.folder), LogLevel: "warn",
 	}
 	for _, one := range c.peers.list[:min(3, len(c.peers.list))] {
@@ -168,7 +168,7 @@
 
 // run goes through the phases. The daemon is ended by its id.
 func (c *control) run() error {
-	stop, err := serveBackend(address(c.port + backendPort))
+	stop, err := serveBackend(address(c.ports[backendPort]))
 	if err != nil {
 		return err
 	}
--- a/bench/capacity/links.go
+++ b/bench/capacity/links.go
@@ -19,7 +19,8 @@
 
 // measureLinks returns the memory of one end of an idle link: the growth of
 // heap and stacks when links are opened between transports of this process.
-func measureLinks(port, count int) (sample, error) {
+func measureLinks(ports []int) (sample, error) {
+	count := len(ports) - 1
 	folder, err := os.MkdirTemp("", "capacity-links-")
 	if err != nil {
 		return nil, err
@@ -36,8 +37,8 @@
 			each.Close()
 		}
 	}()
-	for index := range count + 1 {
-		each, err := openTransport(folder, issuer, index, port+index, &up)
+	for index := range ports {
+		each, err := openTransport(folder, issuer, index, ports[index], &up)
 		if err != nil {
 			return nil, err
 		}
@@ -45,7 +46,7 @@
 	}
 	before := liveHeap()
 	for _, each := range transports[1:] {
-		each.Dial(linkHost(0), address(port))
+		each.Dial(linkHost(0), address(ports[0]))
 	}
 	if err := waitFor(func() bool { return up.Load() == int64(2*count) }); err != nil {
 		return nil, fmt.Errorf("open %d links: %w", count, err)
--- a/bench/capacity/ports.go
+++ b/bench/capacity/ports.go
@@ -5,39 +5,39 @@
 	"net"
 )
 
-// ports hands out blocks of free ports. The range may lie within the system's
-// ephemeral ports, so that other processes hold some of it for a short time.
+// ports hands out free ports. The range may lie within the system's ephemeral
+// ports, so that other processes hold some of it.
 type ports struct{ next, last int }
 
-// portBlocks is the number of blocks that a run looks through.
-const portBlocks = 58
+// portRange is the number of ports that a run looks through.
+const portRange = 2900
 
-func newPorts(first int) *ports { return &ports{next: first, last: first + portBlocks*portsPerRun} }
+func newPorts(first int) *ports { return &ports{next: first, last: first + portRange} }
 
-// block returns the first port of a block that is free now.
-func (p *ports) block() (int, error) {
-	for p.next < p.last {
-		first := p.next
-		p.next += portsPerRun
-		if blockFree(first) {
-			return first, nil
+// take returns ports that are free now, for TCP and UDP.
+func (p *ports) take(count int) ([]int, error) {
+	found := make([]int, 0, count)
+	for ; p.next < p.last && len(found) < count; p.next++ {
+		if portFree(p.next) {
+			found = append(found, p.next)
 		}
 	}
-	return 0, fmt.Errorf("no block of %d free ports below %d: choose another first port", portsPerRun, p.last)
+	if len(found) < count {
+		return nil, fmt.Errorf("too few free ports below %d: choose another first port", p.last)
+	}
+	return found, nil
 }
 
-func blockFree(first int) bool {
-	for port := first; port < first+portsPerRun; port++ {
-		stream, err := net.Listen("tcp", address(port))
-		if err != nil {
-			return false
-		}
-		_ = stream.Close()
-		datagram, err := net.ListenPacket("udp", address(port))
-		if err != nil {
-			return false
-		}
-		_ = datagram.Close()
+func portFree(port int) bool {
+	stream, err := net.Listen("tcp", address(port))
+	if err != nil {
+		return false
+	}
+	_ = stream.Close()
+	datagram, err := net.ListenPacket("udp", address(port))
+	if err != nil {
+		return false
 	}
+	_ = datagram.Close()
 	return true
 }
