Refuse names in other case and repeated names in documents and manifests

Cause: encoding/json takes "Slots" for slots, and of a repeated name the last one counts. The design says that unknown fields are refused and that the same bytes mean the same everywhere. Ruled out: json.Decoder.Token over each document, and a check after the decoding: both are a further pass. The canonical form needs a pass with all names anyway, so the check is part of it.

--- a/core/document/decode.go
+++ b/core/document/decode.go
@@ -1,12 +1,11 @@
 package document
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
+	"reflect"
 	"slices"
 
 	"marjoramsaddle/core/id"
@@ -103,7 +102,7 @@
 // Add decodes a JSON array of documents from the named file into the set.
 func (s *Set) Add(file string, data []byte) error {
 	var raws []json.RawMessage
-	if err := decodeWhole(data, &raws); err != nil {
+	if err := json.Unmarshal(data, &raws); err != nil {
 		return &Error{File: file, Problem: err.Error(), Remedy: "write a JSON array of documents"}
 	}
 	for index, raw := range raws {
@@ -130,25 +129,23 @@
 	if first, exists := s.files[key]; exists {
 		return &Error{File: file, Document: key, Problem: "defined twice, first in " + first, Remedy: "remove one of them"}
 	}
-	if err := s.decodeKind(key, raw); err != nil {
+	canonical, err := s.decodeKind(key, raw)
+	if err != nil {
 		var fault *Error
 		if errors.As(err, &fault) {
-			fault.File = file
+			fault.File, fault.Document = file, key
 			return fault
 		}
 		return &Error{File: file, Document: key, Problem: err.Error(), Remedy: "correct the field; see the JSON Schema"}
 	}
-	canonical, err := Canonicalize(raw)
-	if err != nil {
-		return &Error{File: file, Document: key, Problem: err.Error(), Remedy: "write valid JSON"}
-	}
 	s.Canonical[key] = canonical
 	s.files[key] = file
 	s.added = append(s.added, key)
 	return nil
 }
 
-func (s *Set) decodeKind(key Key, raw []byte) error {
+// decodeKind decodes the document and returns its canonical form.
+func (s *Set) decodeKind(key Key, raw []byte) ([]byte, error) {
 	switch key.Kind {
 	case KindService:
 		return decodeInto(raw, s.Services, id.Service(key.Name))
@@ -157,45 +154,26 @@
 	case KindConfiguration:
 		return decodeInto(raw, s.Configurations, key.Name)
 	default:
-		return &Error{
-			Document: key, Field: "kind", Problem: fmt.Sprintf("unknown kind %q", key.Kind),
+		return nil, &Error{
+			Field: "kind", Problem: fmt.Sprintf("unknown kind %q", key.Kind),
 			Remedy: "use service, proxy or configuration",
 		}
 	}
 }
 
-func decodeInto[K comparable, V any](raw []byte, into map[K]V, name K) error {
+// decodeInto checks the names first: the decoder itself would take a name in
+// another case for a field.
+func decodeInto[K comparable, V any](raw []byte, into map[K]V, name K) ([]byte, error) {
 	var value V
-	if err := decodeWhole(raw, &value); err != nil {
-		return err
-	}
-	into[name] = value
-	return nil
-}
-
-// decodeWhole decodes exactly one JSON value and refuses unknown fields and
-// trailing data.
-func decodeWhole(data []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("data after the end of the JSON value")
+	canonical, err := canonicalize(raw, reflect.TypeFor[V]())
+	if err != nil {
+		return nil, err
 	}
-	return nil
-}
-
-// Canonicalize returns the JSON value with sorted keys and no white space.
-func Canonicalize(raw []byte) ([]byte, error) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.UseNumber()
-	var value any
-	if err := decoder.Decode(&value); err != nil {
+	if err := json.Unmarshal(raw, &value); err != nil {
 		return nil, err
 	}
-	return json.Marshal(value)
+	into[name] = value
+	return canonical, nil
 }
 
 // Without returns a copy of the set that lacks the given documents. The copy
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -12,11 +12,8 @@
 package manifest
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 
 	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/id"
@@ -58,14 +55,12 @@
 
 // Decode reads a manifest and checks its form.
 func Decode(data []byte) (*Manifest, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
 	var m Manifest
-	if err := decoder.Decode(&m); err != nil {
+	if err := document.CheckNames(data, m); err != nil {
 		return nil, fmt.Errorf("manifest: %w: build it with marjoramsaddle build", err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("manifest: data after its end: build it with marjoramsaddle build")
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("manifest: %w: build it with marjoramsaddle build", err)
 	}
 	if m.Format != Format {
 		return nil, fmt.Errorf("manifest: format %d is unknown: use format %d or upgrade the daemon", m.Format, Format)
