Check the queue of the gate only while calls are queued

Cause: the daemon called Gate.Expire each 5 ms, also without any queued call; 200 wake-ups a second cost more CPU time than all control work. Ruled out: a longer interval, which would end queued calls later.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -13,7 +13,7 @@
 // spread, because a late answer is wasted work.
 //
 // The gate reads no clock. Its owner calls Expire every few milliseconds while
-// the gate serves, so that calls end at their queue deadline even when no
+// calls are queued, so that calls end at their queue deadline even when no
 // ticket is returned, and slots that the ramp adds are used.
 //
 // Usage:
@@ -70,6 +70,8 @@
 	deviation   time.Duration
 	draining    bool
 	idle        chan struct{}
+	// waiting holds a signal after a call was queued.
+	waiting chan struct{}
 }
 
 // Option changes a gate at its creation.
@@ -88,7 +90,7 @@
 // and connections. Each running call holds one connection, so the smaller
 // number is the bound.
 func NewGate(slots, connections int, options ...Option) *Gate {
-	gate := &Gate{slots: max(1, min(slots, connections)), idle: make(chan struct{})}
+	gate := &Gate{slots: max(1, min(slots, connections)), idle: make(chan struct{}), waiting: make(chan struct{}, 1)}
 	gate.queueLength = queuePerSlot * gate.slots
 	for _, option := range options {
 		option(gate)
@@ -133,14 +135,19 @@
 	}
 }
 
+// Waiting receives after a call was queued. Until then the gate needs no
+// Expire.
+func (g *Gate) Waiting() <-chan struct{} { return g.waiting }
+
 // Expire refuses the queued calls whose time has passed and uses the slots
-// that the ramp has added.
-func (g *Gate) Expire(now id.Instant) {
+// that the ramp has added. It returns the number of calls still queued.
+func (g *Gate) Expire(now id.Instant) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observe(now)
 	g.queue.removeIf(func(w *waiter) bool { return g.refuseLate(w) })
 	g.dispatch()
+	return g.queue.total
 }
 
 // Resync re-checks the queued calls after a pause of the process. Calls that
@@ -219,6 +226,10 @@
 		return nil, nil, refusal.QueueFull
 	}
 	g.queue.push(waiting)
+	select {
+	case g.waiting <- struct{}{}:
+	default:
+	}
 	return nil, waiting, refusal.None
 }
 
--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -218,3 +218,31 @@
 		}
 	})
 }
+
+// Guards against a queued call whose owner is not told of it: nothing would end
+// it at its queue deadline.
+func TestWaitingTellsOfQueuedCalls(t *testing.T) {
+	is := is.New(t)
+	gate := NewGate(1, 130)
+	told := func() bool {
+		select {
+		case <-gate.Waiting():
+			return true
+		default:
+			return false
+		}
+	}
+	enter := func() *waiter {
+		_, queued, reason := gate.offer(0, document.ClassLookup, 100, 50)
+		is.Equal(reason, refusal.None)
+		return queued
+	}
+	is.True(enter() == nil) // the first call runs
+	is.True(!told())
+	is.True(enter() != nil)
+	is.True(enter() != nil)
+	is.True(told())
+	is.Equal(gate.Expire(49), 2)
+	is.Equal(gate.Expire(50), 0)
+	is.True(!told())
+}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -37,8 +37,21 @@
 	_ = d.operators.Close()
 }
 
-// keepGate lets queued calls end at their deadlines.
+// keepGate lets queued calls end at their deadlines. It sleeps while no call is
+// queued: a check each few milliseconds would cost more than the control budget.
 func (d *Daemon) keepGate(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.gate.Waiting():
+			d.expireQueued(ctx)
+		}
+	}
+}
+
+// expireQueued checks the queue until it is empty.
+func (d *Daemon) expireQueued(ctx context.Context) {
 	ticker := time.NewTicker(gateInterval)
 	defer ticker.Stop()
 	for {
@@ -46,7 +59,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.gate.Expire(now())
+			if d.gate.Expire(now()) == 0 {
+				return
+			}
 		}
 	}
 }
