--- a/bench/capacity/pure.go
+++ b/bench/capacity/pure.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/manifest"
 	"marjoramsaddle/core/snapshot"
 	"marjoramsaddle/core/topology"
 )
@@ -37,6 +39,9 @@
 	delta, full  snapshot.Delta
 	// data holds all documents as the platform does.
 	data []byte
+	// whole and parts are its publication.
+	whole *manifest.Manifest
+	parts map[id.Digest][]byte
 }
 
 func newMaterial(size Size, seed uint64) (*material, error) {
@@ -54,7 +59,10 @@
 	if m.full, err = snapshot.Between(nil, m.next); err != nil {
 		return nil, err
 	}
-	m.data, err = json.Marshal(w.documents())
+	if m.data, err = json.Marshal(w.documents()); err != nil {
+		return nil, err
+	}
+	m.whole, m.parts, err = publication(w.documents())
 	return m, err
 }
 
@@ -74,6 +82,7 @@
 		{"encode_delta", func() error { _, err := snapshot.Between(m.before, m.next); return err }},
 		{"encode_full", func() error { _, err := snapshot.Between(nil, m.next); return err }},
 		{"decode_documents", func() error { return document.NewSet().Add("generated", m.data) }},
+		{"assemble", func() error { _, err := m.whole.Assemble(m.parts); return err }},
 		{"topology", func() error { topology.Of(m.world.table, host); return nil }},
 	}
 }
--- a/bench/capacity/world.go
+++ b/bench/capacity/world.go
@@ -9,6 +9,7 @@
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/label"
+	"marjoramsaddle/core/manifest"
 	"marjoramsaddle/core/snapshot"
 	"marjoramsaddle/core/topology"
 )
@@ -25,6 +26,8 @@
 	// basePolicyMS and policySpreadMS bound the generated queue limits.
 	basePolicyMS   = 50
 	policySpreadMS = 1_000_000
+	// partDocuments is the number of documents in one part.
+	partDocuments = 1500
 	// firstVersion leaves room below it for versions that must be refused.
 	firstVersion = 100
 )
@@ -166,3 +169,18 @@
 	entry, _ := w.table.Get(w.hosts[0])
 	return entry, topology.Of(w.table, w.hosts[0])
 }
+
+// publication splits the documents into parts.
+func publication(list []any) (*manifest.Manifest, map[id.Digest][]byte, error) {
+	whole, parts := &manifest.Manifest{Format: manifest.Format}, map[id.Digest][]byte{}
+	for start := 0; start < len(list); start += partDocuments {
+		data, err := json.Marshal(list[start:min(start+partDocuments, len(list))])
+		if err != nil {
+			return nil, nil, err
+		}
+		part := manifest.Part{SHA256: id.DigestOf(data), Bytes: len(data)}
+		whole.Parts = append(whole.Parts, part)
+		parts[part.SHA256] = data
+	}
+	return whole, parts, nil
+}
