--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -44,10 +44,12 @@
 
 // Report is the JSON object that the experiment prints.
 type Report struct {
-	Seed   uint64   `json:"seed"`
-	Rounds int      `json:"rounds"`
-	CPUs   int      `json:"cpus"`
-	Sizes  []Result `json:"sizes"`
+	Seed   uint64 `json:"seed"`
+	Rounds int    `json:"rounds"`
+	CPUs   int    `json:"cpus"`
+	// Failure tells why a later round ended early; Rounds counts whole ones.
+	Failure string   `json:"failure,omitempty"`
+	Sizes   []Result `json:"sizes"`
 	// Fits holds a line over the number of endpoints for each figure.
 	Fits map[string]Line `json:"fits"`
 	// Links and Calls are measured at one size only: the largest.
@@ -83,7 +85,12 @@
 	}
 	for round := range setup.Rounds {
 		if err := r.round(round); err != nil {
-			return Report{}, err
+			if round == 0 {
+				return Report{}, err
+			}
+			report := r.report()
+			report.Rounds, report.Failure = round, err.Error()
+			return report, nil
 		}
 	}
 	return r.report(), nil
