Give each attempt a reader of the body of its own

Cause: the HTTP/2 transport goes on reading the body of an attempt after RoundTrip has returned, while the repeat resets the shared offset; the repeat could then send a damaged body. Ruled out: waiting for the transport to close the body, which it may do only after the deadline. Before: go test -race ./daemon -run Swap -count=3 under load reports a data race between replayBody.Read and replayBody.rewind. Conclusion: a late read of a failed attempt gets its own bytes, or an error when the body is streamed.

--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -210,6 +210,10 @@
 	if key != "" {
 		request.Header.Set(hop.HeaderKey, key)
 	}
+	return f.do(request)
+}
+
+func (f *testFleet) do(request *http.Request) answer {
 	response, err := f.client.Do(request)
 	if err != nil {
 		return answer{err: err}
@@ -277,6 +281,12 @@
 	}
 }
 
+// numberedKey returns a new key that no other number gives, and its replicas.
+func (f *testFleet) numberedKey(number int) (string, []id.Host) {
+	key := newKey(number)
+	return key, idempotency.Replicas(key, f.counters)
+}
+
 // other returns a live counter host that is none of the given ones.
 func (f *testFleet) other(hosts ...id.Host) id.Host {
 	for _, host := range f.counters {
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -90,7 +89,7 @@
 	out.Header = http.Header{}
 	hop.CopyHeader(out.Header, r.Header)
 	hop.DropInternal(out.Header)
-	out.Body = io.NopCloser(body)
+	out.Body = body.open()
 	out.GetBody = nil
 	if r.ContentLength == 0 {
 		out.Body = http.NoBody
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,15 +15,27 @@
 // first attempt. It allows repeats, and a slow caller holds no slot meanwhile.
 const replayBytes = 64 << 10
 
-// replayBody is a request body that can be read again when it is small.
+// replayBody is a request body that can be sent again when it is small. A
+// transport may read the body of an attempt after the attempt has failed, so
+// each attempt has a reader of its own.
 type replayBody struct {
 	buffered []byte
-	offset   int
 	rest     io.Reader
 	limit    int64
-	touched  bool
+
+	mu      sync.Mutex
+	attempt int
+	touched bool
+}
+
+// stream is the reader of one attempt for a body that is not buffered.
+type stream struct {
+	body    *replayBody
+	attempt int
 }
 
+var errAttemptEnded = errors.New("the attempt has ended")
+
 var errBodyTooLarge = errors.New("body is over the limit of the service")
 
 func newReplayBody(r *http.Request, limit int64) (*replayBody, *refusal.Error) {
@@ -42,17 +55,22 @@
 	return &replayBody{buffered: buffered}, nil
 }
 
-// Read reads the buffered bytes, or streams a large body within its limit.
-func (b *replayBody) Read(into []byte) (int, error) {
+// open returns the body for the attempt that starts now.
+func (b *replayBody) open() io.ReadCloser {
 	if b.rest == nil {
-		if b.offset == len(b.buffered) {
-			return 0, io.EOF
-		}
-		n := copy(into, b.buffered[b.offset:])
-		b.offset += n
-		return n, nil
+		return io.NopCloser(bytes.NewReader(b.buffered))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return io.NopCloser(&stream{body: b, attempt: b.attempt})
+}
+
+// Read streams the body within its limit.
+func (s *stream) Read(into []byte) (int, error) {
+	b := s.body
+	if !b.touch(s.attempt) {
+		return 0, errAttemptEnded
 	}
-	b.touched = true
 	n, err := b.rest.Read(into)
 	b.limit -= int64(n)
 	if b.limit < 0 {
@@ -61,11 +79,27 @@
 	return n, err
 }
 
-// rewind makes the body ready for another attempt, or reports that a part of
-// it is gone.
+// touch notes that the attempt reads the body, unless the attempt has ended.
+func (b *replayBody) touch(attempt int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if attempt != b.attempt {
+		return false
+	}
+	b.touched = true
+	return true
+}
+
+// rewind ends the attempt and makes the body ready for another one, or reports
+// that a part of it is gone.
 func (b *replayBody) rewind() bool {
-	b.offset = 0
-	return !b.touched
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.touched {
+		return false
+	}
+	b.attempt++
+	return true
 }
 
 // cancelBody ends the call's context when the answer is closed.
