Answer calls that arrive during the last moment of a graceful stop

Cause: two faults cut callers off in a graceful stop. Relay deleted the "Connection: close" with which a leaving daemon tells callers to go elsewhere, and net/http closes a connection without an answer when it reads a request after the start of Shutdown. Ruled out: a longer announcement alone, as new connections come until the listener is closed; idle connections reused by the caller (a trace showed a connection that was 0.7 ms old, 1.001 s after the stop). Conclusion: the listener closes first, and Shutdown starts 250 ms later.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,7 +84,7 @@
 	budgets budgets
 	limits  limits
 
-	callers   *http.Server
+	callers   *callerServer
 	hopServer *hop.Server
 	operators *operator.Server
 	stop      context.CancelFunc
@@ -216,7 +216,14 @@
 // idleTimeout closes idle connections of callers.
 const idleTimeout = 2 * time.Minute
 
-func serveHTTP(field, address string, handler http.Handler) (*http.Server, error) {
+// callerServer serves callers until its listener and then its connections are
+// closed.
+type callerServer struct {
+	*http.Server
+	listener net.Listener
+}
+
+func serveHTTP(field, address string, handler http.Handler) (*callerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w: free %s or choose another", err, field)
@@ -229,7 +236,7 @@
 		ErrorLog:          zap.NewStdLog(zap.NewNop()),
 	}
 	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	return &callerServer{Server: server, listener: listener}, nil
 }
 
 // requestStop starts the graceful shutdown from within.
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -13,6 +13,12 @@
 // elsewhere, so that no request meets a closed connection.
 const announceTime = time.Second
 
+// lingerTime is how long the daemon goes on serving the connections of callers
+// after it has closed their listener. From the start of its Shutdown, net/http
+// closes a connection on which it reads a new request, without an answer. The
+// time is long against the 8 ms that a request takes from a caller.
+const lingerTime = 250 * time.Millisecond
+
 // gateInterval is the time between two checks of the gate's queue.
 const gateInterval = 5 * time.Millisecond
 
@@ -28,6 +34,8 @@
 	d.ready.Store(int32(kernel.Draining))
 	d.gate.Drain()
 	time.Sleep(announceTime)
+	_ = d.callers.listener.Close()
+	time.Sleep(lingerTime)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		log.Warn("calls of callers were cut off at the drain deadline")
 	}
--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -19,19 +20,27 @@
 	HeaderReplayed,
 }
 
-// CopyHeader copies the end-to-end headers from one message to another.
+// CopyHeader copies the end-to-end headers from one message to another. What
+// the other message says of its own connection stays.
 func CopyHeader(into, from http.Header) {
+	listed := from.Values("Connection")
 	for name, values := range from {
-		into[name] = append([]string(nil), values...)
-	}
-	for _, list := range from.Values("Connection") {
-		for name := range strings.SplitSeq(list, ",") {
-			into.Del(strings.TrimSpace(name))
+		if !slices.Contains(hopByHop, name) && !lists(listed, name) {
+			into[name] = append([]string(nil), values...)
 		}
 	}
-	for _, name := range hopByHop {
-		into.Del(name)
+}
+
+// lists reports whether a Connection header names the given one.
+func lists(listed []string, name string) bool {
+	for _, list := range listed {
+		for one := range strings.SplitSeq(list, ",") {
+			if strings.EqualFold(strings.TrimSpace(one), name) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // DropInternal removes the headers that only daemons set, so that a caller or
