--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -20,6 +20,8 @@
 	"os"
 	"time"
 
+	"marjoramsaddle/core/balance"
+	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/kernel"
 )
@@ -35,8 +37,13 @@
 	CallerAddress string `json:"caller_address"`
 	// ControlAddress accepts control links (UDP).
 	ControlAddress string `json:"control_address"`
+	// ControlAdvertise is the control address that the daemon announces, where
+	// peers reach it by another one. The default is ControlAddress.
+	ControlAdvertise string `json:"control_advertise,omitempty"`
 	// HopAddress accepts calls from other daemons (TCP, and UDP for HTTP/3).
 	HopAddress string `json:"hop_address"`
+	// HopAdvertise is the announced hop address. The default is HopAddress.
+	HopAdvertise string `json:"hop_advertise,omitempty"`
 	// OperatorAddress serves the operators' interface and the metrics (TCP).
 	OperatorAddress string `json:"operator_address"`
 	// BackendAddress is the backend server of this host.
@@ -60,6 +67,9 @@
 	IdempotencyOrigin string `json:"idempotency_origin,omitempty"`
 	// TraceEvents is the number of recent kernel events that are kept.
 	TraceEvents int `json:"trace_events,omitempty"`
+	// TraceFile receives every kernel event from the start; empty means none.
+	// The file grows without bound.
+	TraceFile string `json:"trace_file,omitempty"`
 
 	Experiment Experiment `json:"experiment,omitempty"`
 }
@@ -159,6 +169,12 @@
 	if s.HopTransport == "" {
 		s.HopTransport = HTTP2
 	}
+	if s.ControlAdvertise == "" {
+		s.ControlAdvertise = s.ControlAddress
+	}
+	if s.HopAdvertise == "" {
+		s.HopAdvertise = s.HopAddress
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
@@ -191,6 +207,8 @@
 		{"hop_address", s.HopAddress},
 		{"operator_address", s.OperatorAddress},
 		{"backend_address", s.BackendAddress},
+		{"control_advertise", s.ControlAdvertise},
+		{"hop_advertise", s.HopAdvertise},
 	}
 	for _, address := range addresses {
 		if err := checkAddress(address.field, address.value); err != nil {
@@ -229,6 +247,9 @@
 	if _, ok := kernel.ParseStrategy(s.strategyName()); !ok {
 		return &Error{Field: "experiment.strategy", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Strategy), Remedy: "use delta, full or poll"}
 	}
+	if _, ok := balance.ParsePolicy(s.Experiment.Balance); !ok {
+		return &Error{Field: "experiment.balance", Problem: fmt.Sprintf("unknown value %q", s.Experiment.Balance), Remedy: "use least_loaded, round_robin or random"}
+	}
 	if _, err := time.Parse(time.RFC3339, s.IdempotencyOrigin); err != nil && s.IdempotencyOrigin != "" {
 		return &Error{Field: "idempotency_origin", Problem: fmt.Sprintf("%q is not a time", s.IdempotencyOrigin), Remedy: "write it like 2026-01-31T08:00:00Z"}
 	}
@@ -245,6 +266,12 @@
 	return s.Experiment.Strategy
 }
 
+// BalancePolicy returns the policy for the choice of backend servers.
+func (s *Settings) BalancePolicy() balance.Policy {
+	policy, _ := balance.ParsePolicy(s.Experiment.Balance)
+	return policy
+}
+
 // Options returns the kernel options that the settings select.
 func (s *Settings) Options() kernel.Options {
 	strategy, _ := kernel.ParseStrategy(s.strategyName())
@@ -265,6 +292,28 @@
 	return id.InstantOf(at)
 }
 
+// Environment returns what the kernel of a process knows that has started at
+// the given time.
+func (s *Settings) Environment(started id.Instant) kernel.Environment {
+	return kernel.Environment{
+		Self: endpoint.Entry{
+			Host:        s.Host,
+			Domain:      s.FailureDomain,
+			Region:      s.Region,
+			Service:     s.Service,
+			Control:     s.ControlAdvertise,
+			Hop:         s.HopAdvertise,
+			Incarnation: id.Incarnation(started),
+			Sequence:    1,
+			Started:     started,
+		},
+		Seeds:       s.Seeds,
+		RandomSeed:  uint64(started),
+		HasPlatform: s.PlatformURL != "",
+		Options:     s.Options(),
+	}
+}
+
 // DrainDeadline returns when a graceful shutdown that starts at now ends at
 // the latest.
 func (s *Settings) DrainDeadline(now time.Time) time.Time {
