--- a/io/hop/header.go
+++ b/io/hop/header.go
@@ -20,19 +20,20 @@
 	HeaderReplayed,
 }
 
-// CopyHeader copies the end-to-end headers from one message to another. It
-// leaves the connection headers that the other one has already.
+// CopyHeader copies the end-to-end headers from one message to another. What
+// the other message says of its own connection stays.
 func CopyHeader(into, from http.Header) {
+	listed := from.Values("Connection")
 	for name, values := range from {
-		if !slices.Contains(hopByHop, name) && !listed(from, name) {
+		if !slices.Contains(hopByHop, name) && !lists(listed, name) {
 			into[name] = append([]string(nil), values...)
 		}
 	}
 }
 
-// listed reports whether the Connection header names the header.
-func listed(header http.Header, name string) bool {
-	for _, list := range header.Values("Connection") {
+// lists reports whether a Connection header names the given one.
+func lists(listed []string, name string) bool {
+	for _, list := range listed {
 		for one := range strings.SplitSeq(list, ",") {
 			if strings.EqualFold(strings.TrimSpace(one), name) {
 				return true
