Announce versions to the hosts that the topology lets dial this one

Links that starting hosts open to their seeds are kept and may have the other direction, so that one or two hosts of a failure domain heard of versions from one neighbour only and waited 400 ms for a second witness. Ruled out: The order of hashes alone: hosts that the ring does not place next to each other waited as well.

--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -116,10 +116,11 @@
 
 func digestPrefix(digest id.Digest) uint64 { return binary.BigEndian.Uint64(digest[:8]) }
 
-// preceding returns the linked hosts, those that dialled this host first and
-// among them the nearest before it in the ring of hashed host names. Hosts of
-// other failure domains are last. As each host dials its successors, it hears
-// of a version from the hosts it dialled.
+// preceding returns the linked hosts, those first that dial this host by the
+// topology, the nearest in the ring before the others. Hosts of other failure
+// domains are last. As each host dials its successors, it hears of a version
+// from the hosts it dials. The direction of a link does not tell who dials by
+// the topology: links that starting hosts open to their seeds are kept.
 func (p *plugin) preceding() []id.Host {
 	hosts := p.shared.LinkHosts()
 	self := ringPosition(p.env.Self.Host)
@@ -127,13 +128,21 @@
 		// The subtraction wraps around the ring.
 		return cmp.Or(
 			compareFlags(p.remote(a), p.remote(b)),
-			compareFlags(p.shared.Links[a].Outbound, p.shared.Links[b].Outbound),
+			cmp.Compare(p.callerRank(a), p.callerRank(b)),
 			cmp.Compare(self-ringPosition(a), self-ringPosition(b)),
 		)
 	})
 	return hosts
 }
 
+// callerRank returns the place of a host among those that dial this one.
+func (p *plugin) callerRank(host id.Host) int {
+	if rank := slices.Index(p.shared.Topology.Accept, host); rank >= 0 {
+		return rank
+	}
+	return len(p.shared.Topology.Accept)
+}
+
 func ringPosition(host id.Host) uint64 { return xxhash.Sum64String(string(host)) }
 
 func (p *plugin) receivePush(at id.Instant, host id.Host, push *message.Push, out *kernel.Output) {
