--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -190,7 +190,6 @@
 	}
 	if err == nil {
 		p.peer(host).holds(result.Version)
-		p.received = push
 		p.adopt(at, result, host, out)
 		return
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -59,7 +59,6 @@
 	heldFrom id.Host
 	peers    map[id.Host]*peer
 	encoded  map[id.Version]*message.Push
-	received *message.Push // the push that is being adopted, or nil
 	transfer transfers
 	want     want
 	start    start
--- a/core/spread/version.go
+++ b/core/spread/version.go
@@ -67,12 +67,6 @@
 	p.shared.Held = adopted
 	p.heldFrom = from
 	clear(p.encoded)
-	if p.received != nil {
-		// A valid push is passed on as it is, without another comparison and
-		// compression of the same versions at each hop.
-		p.encoded[id.Version(p.received.GetBase())] = p.received
-		p.received = nil
-	}
 	p.want = want{}
 	if from != "" {
 		p.confirm(at, adopted.Version)
