Publish the JSON Schema of the settings

Cause: settings are JSON, but only the documents had a schema. Ruled out: generating it from the struct, because it would lack the patterns and descriptions. Before: no schema of the settings.

--- a/client/about.go
+++ b/client/about.go
@@ -11,11 +11,16 @@
 
 func newSchema() *cobra.Command {
 	return &cobra.Command{
-		Use:   "schema",
-		Short: "Print the JSON Schema of a file with documents",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return printLine(cmd, strings.TrimSuffix(string(schema.Documents), "\n"))
+		Use:       "schema [documents|settings]",
+		Short:     "Print the JSON Schema of documents or of a daemon's settings",
+		Args:      cobra.MatchAll(cobra.MaximumNArgs(1), cobra.OnlyValidArgs),
+		ValidArgs: []string{"documents", "settings"},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text := schema.Documents
+			if len(args) == 1 && args[0] == "settings" {
+				text = schema.Settings
+			}
+			return printLine(cmd, strings.TrimSuffix(string(text), "\n"))
 		},
 	}
 }
--- a/docs/schema/schema.go
+++ b/docs/schema/schema.go
@@ -1,5 +1,5 @@
-// Package schema holds the JSON Schema of the files with documents that
-// operators edit.
+// Package schema holds the JSON Schemas of the files that operators edit:
+// documents, and the settings of a daemon.
 //
 // Usage:
 //
@@ -12,3 +12,8 @@
 //
 //go:embed documents.json
 var Documents []byte
+
+// Settings is the JSON Schema, draft 2020-12, of the settings of a daemon.
+//
+//go:embed settings.json
+var Settings []byte
--- a/docs/schema/schema_test.go
+++ b/docs/schema/schema_test.go
@@ -14,9 +14,9 @@
 	"marjoramsaddle/docs/schema"
 )
 
-func compile(t *testing.T) *jsonschema.Schema {
+func compile(t *testing.T, text []byte) *jsonschema.Schema {
 	t.Helper()
-	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema.Documents))
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,7 +64,7 @@
 // Guards against a schema or a decoder that refuses what the examples teach,
 // and against either of them passing a misspelt field at any depth.
 func TestExamplesAndUnknownFields(t *testing.T) {
-	compiled := compile(t)
+	compiled := compile(t, schema.Documents)
 	for _, file := range examples(t) {
 		t.Run(file, func(t *testing.T) {
 			is := is.New(t)
@@ -105,7 +105,7 @@
 // Guards against a schema and a decoder with different bounds: an editor would
 // then accept what the daemons refuse, or the other way round.
 func TestBoundsAgree(t *testing.T) {
-	compiled := compile(t)
+	compiled := compile(t, schema.Documents)
 	service := func(fields string) string { return `[{"kind":"service","name":"s",` + fields + `}]` }
 	route := func(fields string) string {
 		return `[{"kind":"configuration","name":"c","routes":[{"name":"r","service":"s",` + fields + `}]}]`
