--- a/docs/schema/settings_test.go
+++ b/docs/schema/settings_test.go
@@ -30,8 +30,8 @@
 }
 
 func tags(value any) []string {
-	var names []string
 	structure := reflect.TypeOf(value)
+	names := make([]string, 0, structure.NumField())
 	for index := range structure.NumField() {
 		name, _, _ := strings.Cut(structure.Field(index).Tag.Get("json"), ",")
 		names = append(names, name)
