Date the idempotency keys of the load experiment

Cause: the mesh now runs a key only when it can tell that the key is younger than the processes that would remember it. The keys of the workload told no time, so every keyed call of a new fleet was refused for 10 minutes. Ruled out: no_records; it would switch the mechanism off. Conclusion: keys are UUIDs of version 7 and the settle time is 1 s.

--- a/bench/load/caller.go
+++ b/bench/load/caller.go
@@ -134,7 +134,7 @@
 	case notRun(response):
 		record.Verdict = RefusedNotRun
 	default:
-		record.Verdict, record.Detail = Unknown, response.Status
+		record.Verdict, record.Detail = Unknown, strings.TrimSpace(response.Status+" "+record.Reason)
 	}
 	if record.Verdict == RefusedNotRun && record.Reason == "" {
 		record.Reason = noReason
--- a/bench/load/experiment.go
+++ b/bench/load/experiment.go
@@ -139,6 +139,7 @@
 		return Report{}, err
 	}
 	calls := workload.Schedule(e.Plan)
+	DateKeys(calls, time.Now())
 	records, err := e.send(ctx, s, e.addresses(layout), calls)
 	if err != nil {
 		return Report{}, err
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -17,6 +17,8 @@
 	"github.com/matryer/is"
 
 	"marjoramsaddle/bench/load"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/idempotency"
 	"marjoramsaddle/standin/backend"
 )
 
@@ -304,3 +306,23 @@
 	}
 	is.Equal(strings.Join(names, ", "), stated)
 }
+
+// Guards against keys whose time the mesh can't read, and against repeats that
+// lose the key of their first call.
+func TestKeysTellTheirTime(t *testing.T) {
+	is := is.New(t)
+	start := time.UnixMilli(1_800_000_000_000)
+	calls := []load.Call{{Key: "a", At: time.Second}, {}, {Key: "a", At: 2 * time.Second}, {Key: "b", At: 3 * time.Second}}
+	load.DateKeys(calls, start)
+	for i, want := range []time.Duration{0: time.Second, 2: time.Second, 3: 3 * time.Second} {
+		if i == 1 {
+			is.Equal(calls[i].Key, "")
+			continue
+		}
+		at, dated := idempotency.CreatedAt(calls[i].Key)
+		is.True(dated)
+		is.Equal(at, id.InstantOf(start.Add(want)))
+	}
+	is.Equal(calls[0].Key, calls[2].Key)
+	is.True(calls[0].Key != calls[3].Key)
+}
--- a/bench/load/mesh.go
+++ b/bench/load/mesh.go
@@ -24,7 +24,9 @@
 )
 
 const (
-	serveTimeout  = 20 * time.Second
+	serveTimeout = 20 * time.Second
+	// settleMS is shorter than the warm-up, so that keys are run from the start.
+	settleMS      = 1000
 	retriesMetric = "marjoramsaddle_retries_total"
 )
 
@@ -67,6 +69,7 @@
 func (e Experiment) changeSettings(s *settings.Settings) {
 	s.LogLevel = "warn"
 	s.HopTransport = e.HopTransport
+	s.Experiment.SettleMS = settleMS
 	switch e.Policy {
 	case "":
 	case PolicyNoBudget:
