Word the count of doubled calls apart from the others

Cause: TestLoadSeesWhatTheFaultDoes scans standard error for the number of calls that went to another address, and took the new count of doubled calls. Ruled out: a change of the test; the experiment played its faults. Before: kill_backend and stop_backend of the test fail with Resent 0. After: they pass. Conclusion: the new line no longer begins with a number.

--- a/cmd/marjoramsaddle-bench/load.go
+++ b/cmd/marjoramsaddle-bench/load.go
@@ -59,7 +59,7 @@
 		cmd.PrintErrf("load: %d calls went to another address, as nothing of them had been sent\n", report.Resent)
 	}
 	if report.Doubled > 0 {
-		cmd.PrintErrf("load: %d calls ran twice without a repeat of the caller\n", report.DoubledByMesh)
+		cmd.PrintErrf("load: calls that ran twice without a repeat of the caller: %d\n", report.DoubledByMesh)
 	}
 	if baseline := report.Baseline; baseline.MsP99 > 0 {
 		cmd.PrintErrf("load: direct calls in this run: added_ms_p50 %.3f, added_ms_p99 %.3f\n", baseline.MsP50, baseline.MsP99)
