Announce the control addresses in the tests of whole daemons

Ruled out: a fault of the overlay; each daemon knew only itself. Before: go test ./daemon fails with "not in time: fleet ready". After: go test -race ./daemon passes. Conclusion: the test fleet sets the announced address with the others.

--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -100,6 +100,7 @@
 		f.backends[host.Name] = server
 		host.Backend = netip.MustParseAddrPort(server.Address())
 		host.Caller, host.Peer, host.Hop, host.Operator = free(), free(), free(), free()
+		host.Announced = host.Peer
 		f.caller[host.Name] = host.Caller.String()
 		if host.Service.Name == "counter" {
 			f.counters = append(f.counters, host.Name)
