--- a/core/spread/push.go
+++ b/core/spread/push.go
@@ -36,17 +36,18 @@
 // them for the full snapshot.
 func (p *plugin) offer(host id.Host, peer *peer, out *kernel.Output) {
 	if p.env.Options.Strategy == kernel.Full {
-		p.sendPush(host, nil, out)
+		p.sendPush(host, nil, 0, out)
 		return
 	}
 	if base := p.history.find(peer.held); base != nil {
-		p.sendPush(host, base, out)
+		p.sendPush(host, base, 0, out)
 		return
 	}
 	p.sendHave(host, out)
 }
 
-func (p *plugin) sendPush(host id.Host, base *snapshot.Snapshot, out *kernel.Output) {
+// sendPush sends the version held. The probe is that of the want it answers.
+func (p *plugin) sendPush(host id.Host, base *snapshot.Snapshot, probe uint64, out *kernel.Output) {
 	push, err := p.encode(base)
 	if err != nil {
 		log(out, "The delta could not be encoded: "+err.Error())
@@ -59,6 +60,13 @@
 	out.Do(kernel.Count{Name: CountPush, Label: label})
 	// A push tells the peer as much as have does.
 	p.peer(host).haveSent = p.shared.HeldVersion()
+	if probe != 0 {
+		// The encoded push is shared with other receivers.
+		push = &message.Push{
+			Version: push.GetVersion(), Digest: push.GetDigest(), Base: push.GetBase(),
+			Payload: push.GetPayload(), Probe: probe,
+		}
+	}
 	p.send(host, &message.Frame{Body: &message.Frame_Push{Push: push}}, out)
 }
 
@@ -104,22 +112,23 @@
 		return
 	}
 	peer.haveSent = held.Version
-	p.sendHaveAgain(host, out)
+	p.sendHaveAgain(host, 0, out)
 }
 
-func (p *plugin) sendHaveAgain(host id.Host, out *kernel.Output) {
+func (p *plugin) sendHaveAgain(host id.Host, probe uint64, out *kernel.Output) {
 	held := p.shared.Held
 	p.send(host, &message.Frame{Body: &message.Frame_Have{Have: &message.Have{
-		Version: uint64(held.Version), DigestPrefix: digestPrefix(held.Digest),
+		Version: uint64(held.Version), DigestPrefix: digestPrefix(held.Digest), Probe: probe,
 	}}}, out)
 }
 
 func digestPrefix(digest id.Digest) uint64 { return binary.BigEndian.Uint64(digest[:8]) }
 
-// preceding returns the linked hosts, those that dialled this host first and
-// among them the nearest before it in the ring of hashed host names. Hosts of
-// other failure domains are last. As each host dials its successors, it hears
-// of a version from the hosts it dialled.
+// preceding returns the linked hosts, those first that dial this host by the
+// topology, the nearest in the ring before the others. Hosts of other failure
+// domains are last. As each host dials its successors, it hears of a version
+// from the hosts it dials. The direction of a link does not tell who dials by
+// the topology: links that starting hosts open to their seeds are kept.
 func (p *plugin) preceding() []id.Host {
 	hosts := p.shared.LinkHosts()
 	self := ringPosition(p.env.Self.Host)
@@ -127,13 +136,21 @@
 		// The subtraction wraps around the ring.
 		return cmp.Or(
 			compareFlags(p.remote(a), p.remote(b)),
-			compareFlags(p.shared.Links[a].Outbound, p.shared.Links[b].Outbound),
+			cmp.Compare(p.callerRank(a), p.callerRank(b)),
 			cmp.Compare(self-ringPosition(a), self-ringPosition(b)),
 		)
 	})
 	return hosts
 }
 
+// callerRank returns the place of a host among those that dial this one.
+func (p *plugin) callerRank(host id.Host) int {
+	if rank := slices.Index(p.shared.Topology.Accept, host); rank >= 0 {
+		return rank
+	}
+	return len(p.shared.Topology.Accept)
+}
+
 func ringPosition(host id.Host) uint64 { return xxhash.Sum64String(string(host)) }
 
 func (p *plugin) receivePush(at id.Instant, host id.Host, push *message.Push, out *kernel.Output) {
@@ -158,7 +175,7 @@
 		return
 	}
 	p.peer(host).holds(p.shared.HeldVersion())
-	p.confirm(at, p.shared.HeldVersion())
+	p.confirm(at, p.shared.HeldVersion(), push.GetProbe())
 	// A push and the answer to a want may both come from the host that
 	// delivered the version first; its link is not redundant.
 	if host != p.heldFrom {
@@ -183,6 +200,7 @@
 	if err == nil {
 		p.peer(host).holds(result.Version)
 		p.adopt(at, result, host, out)
+		p.confirm(at, result.Version, push.GetProbe())
 		return
 	}
 	out.Do(kernel.Count{Name: CountPushInvalid})
@@ -221,5 +239,5 @@
 	if held != nil && version >= held.Version {
 		delete(p.transfer, host)
 	}
-	p.confirm(at, version)
+	p.confirm(at, version, have.GetProbe())
 }
