Wait for quiet links before a phase at rest

Cause: with a pause of 1 s the table transfers of a start ran into the first phase at rest, and all costs per event were taken off against it. Ruled out: a fixed longer pause, which depends on the load of the machine. After: the phase starts when a pause of 2 s carries less than 12,000 bytes.

--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -39,7 +39,10 @@
 	// redialAfter exceeds the time limit of a handshake.
 	redialAfter = 3 * time.Second
 	// settlePause lets the work of one phase end before the next is measured.
-	settlePause = time.Second
+	settlePause = 2 * time.Second
+	// quietBytes in a settlePause are more than heartbeats on 16 links take.
+	quietBytes = 12_000
+	quietTries = 8
 	fileMode    = 0o600
 	bytesPerMB  = 1e6
 )
@@ -284,9 +287,21 @@
 	return true
 }
 
+// waitQuiet waits until the transfers of the phase before have ended: a start
+// goes on sending table rows after the daemon has its version in force.
+func (c *control) waitQuiet() {
+	for range quietTries {
+		before := c.peers.bytes()
+		time.Sleep(settlePause)
+		if c.peers.bytes()-before < quietBytes {
+			return
+		}
+	}
+}
+
 // measureRest takes the daemon without any change.
 func (c *control) measureRest(name string) error {
-	time.Sleep(settlePause)
+	c.waitQuiet()
 	used, err := c.measure(func() error { time.Sleep(c.setup.Rest); return nil })
 	if err != nil {
 		return err
--- a/cmd/marjoramsaddle-bench/capacity.go
+++ b/cmd/marjoramsaddle-bench/capacity.go
@@ -15,7 +15,7 @@
 	capacityRounds    = 3
 	capacityLinks     = 48
 	capacityFirstPort = 36_000
-	capacityRest      = 3 * time.Second
+	capacityRest      = 5 * time.Second
 	capacityFileMode  = 0o644
 )
 
