--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -43,8 +43,8 @@
 	// quietBytes in a settlePause are more than heartbeats on 16 links take.
 	quietBytes = 12_000
 	quietTries = 8
-	fileMode    = 0o600
-	bytesPerMB  = 1e6
+	fileMode   = 0o600
+	bytesPerMB = 1e6
 )
 
 // The places of the ports of a daemon in the list of its run.
