--- a/core/spread/version.go
+++ b/core/spread/version.go
@@ -68,9 +68,6 @@
 	p.heldFrom = from
 	clear(p.encoded)
 	p.want = want{}
-	if from != "" {
-		p.confirm(at, adopted.Version)
-	}
 	if !p.poll() {
 		p.push(from, out)
 		p.announce(from, out)
@@ -137,7 +134,7 @@
 // publish puts a version in force and reports whether its view is fit.
 func (p *plugin) publish(candidate *heldVersion, out *kernel.Output) bool {
 	view := candidate.snapshot.View(p.env.Self.Host)
-	if dangling := view.Dangling(); len(dangling) > 0 {
+	if dangling := view.Dangling(); len(dangling) > 0 && !p.env.Options.NoValidation {
 		candidate.unfit = true
 		p.refuse(view.Version, "dangling routes "+strings.Join(dangling, ", ")+": define their services", out)
 		return false
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	_ "marjoramsaddle/core/census" // registers its plug-in
 	"marjoramsaddle/core/endpoint"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/idempotency"
 	"marjoramsaddle/core/kernel"
 	_ "marjoramsaddle/core/member"  // registers its plug-in
 	_ "marjoramsaddle/core/overlay" // registers its plug-in
@@ -39,6 +40,7 @@
 	"marjoramsaddle/io/operator"
 	"marjoramsaddle/io/peer"
 	"marjoramsaddle/io/platform"
+	"marjoramsaddle/io/record"
 	"marjoramsaddle/io/settings"
 	"marjoramsaddle/io/telemetry"
 )
@@ -61,7 +63,9 @@
 	queries chan func(*kernel.Kernel)
 	stopped chan struct{}
 	recent  *recentEvents
-	answers answers
+	// recorder is nil unless the settings name a trace file.
+	recorder *recorder
+	answers  answers
 
 	transport *peer.Transport
 	platform  *platform.Client
@@ -70,16 +74,22 @@
 	view     atomic.Pointer[snapshot.View]
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	table    atomic.Pointer[map[id.Host]endpoint.Entry]
+	services atomic.Pointer[map[id.Service][]id.Host]
 	ready    atomic.Int32
+	// steppedAt is when the control goroutine last ran, in Unix nanoseconds.
+	steppedAt atomic.Int64
 
 	gate    *admission.Gate
 	chooser *balance.Chooser
 	backend *backend.Server
+	signs   signs
 	hop     *hop.Client
+	records *idempotency.Records
+	record  *record.Server
 	budgets budgets
 	limits  limits
 
-	callers   *http.Server
+	callers   *callerServer
 	hopServer *hop.Server
 	operators *operator.Server
 	stop      context.CancelFunc
@@ -104,43 +114,26 @@
 		events:   make(chan kernel.Event, eventQueue),
 		queries:  make(chan func(*kernel.Kernel)),
 		stopped:  make(chan struct{}),
-		recent:   newRecentEvents(s.TraceEvents),
 	}
 	if s.PlatformURL != "" {
 		d.platform = platform.NewClient(s.PlatformURL)
 	}
-	d.kernel = kernel.New(d.environment())
+	env := s.Environment(now())
+	d.kernel = kernel.New(env)
+	d.recent = newRecentEvents(s.TraceEvents, env)
 	d.buildTraffic()
 	return d, nil
 }
 
 func now() id.Instant { return id.InstantOf(time.Now()) }
 
-func (d *Daemon) environment() kernel.Environment {
-	started := now()
-	s := d.settings
-	return kernel.Environment{
-		Self: endpoint.Entry{
-			Host:        s.Host,
-			Domain:      s.FailureDomain,
-			Region:      s.Region,
-			Service:     s.Service,
-			Control:     s.ControlAddress,
-			Hop:         s.HopAddress,
-			Incarnation: id.Incarnation(started),
-			Sequence:    1,
-			Started:     started,
-		},
-		Seeds:       s.Seeds,
-		RandomSeed:  uint64(started),
-		HasPlatform: d.platform != nil,
-		Options:     s.Options(),
-	}
-}
-
 // Run serves until the context ends, and then stops gracefully: work in
 // progress finishes, bounded by the drain deadline of the settings.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.startRecorder(); err != nil {
+		return err
+	}
+	defer d.recorder.close()
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -170,7 +163,7 @@
 	if err != nil {
 		return err
 	}
-	d.hopServer, err = hop.Serve(s.HopAddress, d.keys, d.backend)
+	d.hopServer, err = hop.Serve(s.HopAddress, d.keys, d.record)
 	if err != nil {
 		d.transport.Close()
 		return err
@@ -183,7 +176,7 @@
 }
 
 func (d *Daemon) listenHTTP() error {
-	handler := caller.New(caller.Options{
+	options := caller.Options{
 		Self:    d.settings.Host,
 		Chooser: chooser{d.chooser},
 		Sender:  sender{d},
@@ -193,9 +186,12 @@
 		View:    d.view.Load,
 		Ready:   d.Readiness,
 		Now:     now,
-	})
+	}
+	if !d.settings.Experiment.NoRecords {
+		options.Owners = d.owners
+	}
 	var err error
-	d.callers, err = serveHTTP("caller_address", d.settings.CallerAddress, handler)
+	d.callers, err = serveHTTP("caller_address", d.settings.CallerAddress, caller.New(options))
 	if err != nil {
 		return err
 	}
@@ -208,7 +204,14 @@
 // idleTimeout closes idle connections of callers.
 const idleTimeout = 2 * time.Minute
 
-func serveHTTP(field, address string, handler http.Handler) (*http.Server, error) {
+// callerServer serves callers until its listener and then its connections are
+// closed.
+type callerServer struct {
+	*http.Server
+	listener net.Listener
+}
+
+func serveHTTP(field, address string, handler http.Handler) (*callerServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w: free %s or choose another", err, field)
@@ -221,7 +224,7 @@
 		ErrorLog:          zap.NewStdLog(zap.NewNop()),
 	}
 	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	return &callerServer{Server: server, listener: listener}, nil
 }
 
 // requestStop starts the graceful shutdown from within.
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"marjoramsaddle/core/kernel"
@@ -13,6 +14,12 @@
 // elsewhere, so that no request meets a closed connection.
 const announceTime = time.Second
 
+// lingerTime is how long the daemon goes on serving the connections of callers
+// after it has closed their listener. From the start of its Shutdown, net/http
+// closes a connection on which it reads a new request, without an answer. The
+// time is long against the 8 ms that a request takes from a caller.
+const lingerTime = 250 * time.Millisecond
+
 // gateInterval is the time between two checks of the gate's queue.
 const gateInterval = 5 * time.Millisecond
 
@@ -28,6 +35,8 @@
 	d.ready.Store(int32(kernel.Draining))
 	d.gate.Drain()
 	time.Sleep(announceTime)
+	_ = d.callers.listener.Close()
+	time.Sleep(lingerTime)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		log.Warn("calls of callers were cut off at the drain deadline")
 	}
@@ -66,11 +75,66 @@
 	}
 }
 
-// onHealth tells the kernel what the backend server says of itself.
+// signs collects what is known of the backend server's state, from probes and
+// from the answers to calls.
+type signs struct {
+	mu sync.Mutex
+	// down is set from the first sign that the backend server is not there
+	// until it is ready again.
+	down bool
+	// draining is set by an answer. Health may lag behind it, so only the next
+	// start of the backend server clears it.
+	draining bool
+	known    bool
+	last     kernel.BackendState
+}
+
+// onHealth tells the kernel what the backend server says of itself. A backend
+// server that has come back after it was down begins with a cold start.
 func (d *Daemon) onHealth(health backend.Health) {
-	d.emit(kernel.BackendState{Ready: health.Ready, Draining: health.Draining})
+	s := &d.signs
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := kernel.BackendState{Ready: health.Ready}
+	switch {
+	case !health.Ready:
+		s.down = true
+		// A backend server that drained and ended has not returned.
+		state.Draining = s.last.Draining
+	case s.down:
+		s.down = false
+		s.draining = false
+		state.Draining = health.Draining
+		d.gate.Restarted(now())
+	default:
+		state.Draining = health.Draining || s.draining
+	}
+	d.report(state)
 }
 
+// onDraining handles an answer that says that the backend server drains.
 func (d *Daemon) onDraining() {
-	d.emit(kernel.BackendState{Ready: true, Draining: true})
+	d.signs.mu.Lock()
+	defer d.signs.mu.Unlock()
+	d.signs.draining = true
+	d.report(kernel.BackendState{Ready: true, Draining: true})
+}
+
+// onUnreachable handles a connection that the backend server did not accept,
+// which can be the only sign of a restart between two probes.
+func (d *Daemon) onUnreachable() {
+	d.signs.mu.Lock()
+	defer d.signs.mu.Unlock()
+	d.signs.down = true
+	d.report(kernel.BackendState{Draining: d.signs.last.Draining})
+}
+
+// report tells the kernel of a changed state. The caller holds the lock.
+func (d *Daemon) report(state kernel.BackendState) {
+	if d.signs.known && d.signs.last == state {
+		return
+	}
+	d.signs.known = true
+	d.signs.last = state
+	d.emit(state)
 }
