--- a/bench/converge/daemon.go
+++ b/bench/converge/daemon.go
@@ -40,6 +40,8 @@
 	log      string
 	process  *process.Process
 	live     bool
+	launched time.Time
+	again    int // starts after an unexpected end
 
 	// The totals of ended processes.
 	sent int64
@@ -67,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	d.process, d.live = started, true
+	d.process, d.live, d.launched = started, true, time.Now()
 	return nil
 }
 
