--- a/core/document/decode.go
+++ b/core/document/decode.go
@@ -1,11 +1,11 @@
 package document
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"maps"
+	"reflect"
 	"slices"
 
 	"marjoramsaddle/core/id"
@@ -46,6 +46,8 @@
 	Canonical map[Key][]byte
 
 	files map[Key]string
+	// sorted holds the keys in order, but for those in added.
+	sorted, added []Key
 }
 
 // NewSet returns an empty set.
@@ -59,14 +61,31 @@
 	}
 }
 
-// Keys returns the keys of all documents in order.
+// Keys returns the keys of all documents in order. The caller must not change
+// them. The first call after an addition sorts and is not safe for concurrent
+// use; further calls are.
 func (s *Set) Keys() []Key {
-	keys := make([]Key, 0, len(s.Canonical))
-	for key := range s.Canonical {
-		keys = append(keys, key)
+	if len(s.added) == 0 {
+		return s.sorted
 	}
-	slices.SortFunc(keys, compareKeys)
-	return keys
+	slices.SortFunc(s.added, compareKeys)
+	s.sorted = merged(s.sorted, s.added)
+	s.added = nil
+	return s.sorted
+}
+
+// merged returns the union of two ordered lists without common keys.
+func merged(a, b []Key) []Key {
+	out := make([]Key, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		if a[0].Less(b[0]) {
+			out, a = append(out, a[0]), a[1:]
+		} else {
+			out, b = append(out, b[0]), b[1:]
+		}
+	}
+	out = append(out, a...)
+	return append(out, b...)
 }
 
 func compareKeys(a, b Key) int {
@@ -83,7 +102,7 @@
 // Add decodes a JSON array of documents from the named file into the set.
 func (s *Set) Add(file string, data []byte) error {
 	var raws []json.RawMessage
-	if err := decodeWhole(data, &raws); err != nil {
+	if err := json.Unmarshal(data, &raws); err != nil {
 		return &Error{File: file, Problem: err.Error(), Remedy: "write a JSON array of documents"}
 	}
 	for index, raw := range raws {
@@ -110,24 +129,23 @@
 	if first, exists := s.files[key]; exists {
 		return &Error{File: file, Document: key, Problem: "defined twice, first in " + first, Remedy: "remove one of them"}
 	}
-	if err := s.decodeKind(key, raw); err != nil {
+	canonical, err := s.decodeKind(key, raw)
+	if err != nil {
 		var fault *Error
 		if errors.As(err, &fault) {
-			fault.File = file
+			fault.File, fault.Document = file, key
 			return fault
 		}
 		return &Error{File: file, Document: key, Problem: err.Error(), Remedy: "correct the field; see the JSON Schema"}
 	}
-	canonical, err := Canonicalize(raw)
-	if err != nil {
-		return &Error{File: file, Document: key, Problem: err.Error(), Remedy: "write valid JSON"}
-	}
 	s.Canonical[key] = canonical
 	s.files[key] = file
+	s.added = append(s.added, key)
 	return nil
 }
 
-func (s *Set) decodeKind(key Key, raw []byte) error {
+// decodeKind decodes the document and returns its canonical form.
+func (s *Set) decodeKind(key Key, raw []byte) ([]byte, error) {
 	switch key.Kind {
 	case KindService:
 		return decodeInto(raw, s.Services, id.Service(key.Name))
@@ -136,65 +154,54 @@
 	case KindConfiguration:
 		return decodeInto(raw, s.Configurations, key.Name)
 	default:
-		return &Error{
-			Document: key, Field: "kind", Problem: fmt.Sprintf("unknown kind %q", key.Kind),
+		return nil, &Error{
+			Field: "kind", Problem: fmt.Sprintf("unknown kind %q", key.Kind),
 			Remedy: "use service, proxy or configuration",
 		}
 	}
 }
 
-func decodeInto[K comparable, V any](raw []byte, into map[K]V, name K) error {
+// decodeInto checks the names first: the decoder itself would take a name in
+// another case for a field.
+func decodeInto[K comparable, V any](raw []byte, into map[K]V, name K) ([]byte, error) {
 	var value V
-	if err := decodeWhole(raw, &value); err != nil {
-		return err
-	}
-	into[name] = value
-	return nil
-}
-
-// decodeWhole decodes exactly one JSON value and refuses unknown fields and
-// trailing data.
-func decodeWhole(data []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("data after the end of the JSON value")
+	canonical, err := canonicalize(raw, reflect.TypeFor[V]())
+	if err != nil {
+		return nil, err
 	}
-	return nil
-}
-
-// Canonicalize returns the JSON value with sorted keys and no white space.
-func Canonicalize(raw []byte) ([]byte, error) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.UseNumber()
-	var value any
-	if err := decoder.Decode(&value); err != nil {
+	if err := json.Unmarshal(raw, &value); err != nil {
 		return nil, err
 	}
-	return json.Marshal(value)
+	into[name] = value
+	return canonical, nil
 }
 
 // Without returns a copy of the set that lacks the given documents. The copy
 // shares the documents themselves, which are never changed.
 func (s *Set) Without(dropped map[Key]bool) *Set {
-	out := NewSet()
-	for key, canonical := range s.Canonical {
-		if dropped[key] {
-			continue
-		}
-		out.Canonical[key] = canonical
-		out.files[key] = s.files[key]
-		switch key.Kind {
-		case KindService:
-			out.Services[id.Service(key.Name)] = s.Services[id.Service(key.Name)]
-		case KindProxy:
-			out.Proxies[id.Host(key.Name)] = s.Proxies[id.Host(key.Name)]
-		case KindConfiguration:
-			out.Configurations[key.Name] = s.Configurations[key.Name]
-		}
+	out := &Set{
+		Services:       maps.Clone(s.Services),
+		Proxies:        maps.Clone(s.Proxies),
+		Configurations: maps.Clone(s.Configurations),
+		Canonical:      maps.Clone(s.Canonical),
+		files:          maps.Clone(s.files),
+		sorted:         slices.DeleteFunc(slices.Clone(s.Keys()), func(key Key) bool { return dropped[key] }),
+	}
+	for key := range dropped {
+		out.remove(key)
 	}
 	return out
 }
+
+func (s *Set) remove(key Key) {
+	delete(s.Canonical, key)
+	delete(s.files, key)
+	switch key.Kind {
+	case KindService:
+		delete(s.Services, id.Service(key.Name))
+	case KindProxy:
+		delete(s.Proxies, id.Host(key.Name))
+	case KindConfiguration:
+		delete(s.Configurations, key.Name)
+	}
+}
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -12,11 +12,8 @@
 package manifest
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 
 	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/id"
@@ -58,14 +55,12 @@
 
 // Decode reads a manifest and checks its form.
 func Decode(data []byte) (*Manifest, error) {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
 	var m Manifest
-	if err := decoder.Decode(&m); err != nil {
+	if err := document.CheckNames(data, m); err != nil {
 		return nil, fmt.Errorf("manifest: %w: build it with marjoramsaddle build", err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.New("manifest: data after its end: build it with marjoramsaddle build")
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("manifest: %w: build it with marjoramsaddle build", err)
 	}
 	if m.Format != Format {
 		return nil, fmt.Errorf("manifest: format %d is unknown: use format %d or upgrade the daemon", m.Format, Format)
@@ -84,6 +79,19 @@
 // Assemble decodes the parts into one validated set of documents. The map
 // holds the bytes of each part by its hash.
 func (m *Manifest) Assemble(parts map[id.Digest][]byte) (*document.Set, error) {
+	set, err := m.Collect(parts)
+	if err != nil {
+		return nil, err
+	}
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	return set, nil
+}
+
+// Collect decodes the parts as Assemble does, but does not validate the set as
+// a whole.
+func (m *Manifest) Collect(parts map[id.Digest][]byte) (*document.Set, error) {
 	set := document.NewSet()
 	for _, part := range m.Parts {
 		data, ok := parts[part.SHA256]
@@ -97,8 +105,5 @@
 			return nil, err
 		}
 	}
-	if err := set.Validate(); err != nil {
-		return nil, err
-	}
 	return set, nil
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,6 +49,7 @@
 	at := now()
 	d.steppedAt.Store(int64(at))
 	d.recent.add(at, event)
+	d.recorder.add(at, event)
 	for _, action := range d.kernel.Step(at, event) {
 		d.perform(action)
 	}
@@ -89,20 +92,31 @@
 		return
 	}
 	if policy, ok := a.View.Policies[d.settings.Service]; ok {
+		d.gate.SetRamp(time.Duration(policy.Service.ColdStartMS) * time.Millisecond)
 		d.gate.Resize(now(), policy.Service.Slots, policy.Service.Connections)
 	}
 	d.snapshot.Store(a.Snapshot)
 	d.view.Store(a.View)
+	if table := d.table.Load(); table != nil {
+		d.publishEndpoints(slices.Collect(maps.Values(*table)))
+	}
 	d.log.Named("spread").Info("version in force",
 		zap.Uint64("version", uint64(a.View.Version)), zap.Stringer("digest", a.View.Digest))
 }
 
 func (d *Daemon) publishEndpoints(entries []endpoint.Entry) {
 	table := make(map[id.Host]endpoint.Entry, len(entries))
-	for _, entry := range entries {
-		table[entry.Host] = entry
+	view := d.view.Load()
+	for i, entry := range entries {
+		if view != nil {
+			// Entries don't carry slots; the configuration in force names them.
+			entries[i].Slots = view.Policies[entry.Service].Service.Slots
+		}
+		table[entry.Host] = entries[i]
 	}
 	d.table.Store(&table)
+	d.backend.SetLeaving(table[d.settings.Host].State == endpoint.Leaving)
+	d.publishHosts(entries)
 	d.chooser.SetEndpoints(entries)
 }
 
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -11,9 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
-
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/certificate"
@@ -26,9 +23,12 @@
 	// idleTimeout closes connections that carry no calls, so that a daemon
 	// holds connections only to the hosts that it calls at present.
 	idleTimeout = 30 * time.Second
-	// maxReceiveWindow bounds the memory of one HTTP/3 answer whose caller
-	// reads slowly.
-	maxReceiveWindow = 4 << 20
+	// streamWindow bounds the memory of one answer whose caller reads slowly.
+	// The 4 MiB that net/http allows took 113 MB for 20 slow readers.
+	streamWindow = 256 << 10
+	// connectionWindow has room for the windows of as many answers as a backend
+	// server has connections, so that slow readers don't block other calls.
+	connectionWindow = 130 * streamWindow
 )
 
 // Lookup returns the hop address of a host.
@@ -56,6 +56,10 @@
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: MaxHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerStream:     streamWindow,
+			MaxReceiveBufferPerConnection: connectionWindow,
+		},
 		DialTLSContext: func(ctx context.Context, _, target string) (net.Conn, error) {
 			host, address, err := resolve(lookup, target)
 			if err != nil {
@@ -68,27 +72,6 @@
 	return &Client{transport: transport, closeIdle: transport.CloseIdleConnections}
 }
 
-func newHTTP3Client(keys *certificate.Keys, lookup Lookup) *Client {
-	transport := &http3.Transport{
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxHeaderBytes,
-		QUICConfig: &quic.Config{
-			MaxIdleTimeout:             idleTimeout,
-			HandshakeIdleTimeout:       dialTimeout,
-			MaxStreamReceiveWindow:     maxReceiveWindow,
-			MaxConnectionReceiveWindow: 2 * maxReceiveWindow,
-		},
-		Dial: func(ctx context.Context, target string, _ *tls.Config, config *quic.Config) (*quic.Conn, error) {
-			host, address, err := resolve(lookup, target)
-			if err != nil {
-				return nil, err
-			}
-			return quic.DialAddrEarly(ctx, address, keys.Client(host, http3.NextProtoH3), config)
-		},
-	}
-	return &Client{transport: transport, closeIdle: transport.CloseIdleConnections}
-}
-
 func resolve(lookup Lookup, target string) (id.Host, string, error) {
 	name, _, err := net.SplitHostPort(target)
 	if err != nil {
@@ -130,6 +113,14 @@
 	return response, nil
 }
 
+// Exchange sends a message between daemons that is no call, such as a request
+// to record an idempotency key.
+func (c *Client) Exchange(host id.Host, request *http.Request) (*http.Response, error) {
+	request.URL.Scheme = "https"
+	request.URL.Host = string(host)
+	return c.transport.RoundTrip(request)
+}
+
 func classify(ctx context.Context, err error, sent bool) *refusal.Error {
 	outcome := refusal.NotRun
 	reason := refusal.ConnectFailed
