Keep a starting host from sending on the table it receives

Cause: a starting host adopts the whole endpoint table from its neighbours and gossiped each row over all its links, although the rows were news to it alone. Ruled out: suppressing all rows before the table has settled; hosts that start together learn of each other by such rows, in batches below the size of a transfer.

--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -219,7 +219,12 @@
 
 // merge adopts the entries that are news. An unknown host that is dead is no
 // news: its entry has been removed here.
+//
+// A host that has just started does not send on the rows of a transfer: they
+// are news to it alone. Sending them on would carry the whole table over each
+// of its links.
 func (p *plugin) merge(from id.Host, entries *message.Entries, out *kernel.Output) {
+	transfer := !p.shared.TableSettled && len(entries.GetEntries()) >= batchEntries
 	for _, row := range entries.GetEntries() {
 		entry, valid := row.Endpoint()
 		_, known := p.shared.Table.Get(entry.Host)
@@ -228,7 +233,10 @@
 			out.Do(kernel.Count{Name: "message_refused", Label: refusal.BadRequest.String()})
 		case entry.Host == p.env.Self.Host:
 			p.claimed(entry, out)
-		case known || entry.State != endpoint.Dead:
+		case !known && entry.State == endpoint.Dead:
+		case transfer:
+			p.shared.Table.Merge(entry)
+		default:
 			p.adopt(entry, from)
 		}
 	}
