Make an operators' drain safe at any time and report the ignored index

Cause: Daemon.Drain called a function that Run sets after the operators' listener is open, so a drain during the start met a nil function. The status had a field for an ignored platform index that nothing filled. Ruled out: opening the listener later, because the field would still be written while another goroutine reads it. Before: a nil call in that window; IgnoredIndex always zero. After: a channel made in New, closed once; the reader keeps the ignored index until a newer one is read. Tests of core/reader, daemon, io/operator and proofs pass with -race.

--- a/core/kernel/shared.go
+++ b/core/kernel/shared.go
@@ -105,6 +105,10 @@
 	// Refused is the newest refused version and its reason, written by spread.
 	Refused       id.Version
 	RefusedReason string
+	// IgnoredIndex is the platform's last index of the manifest that was below
+	// the highest known one, or zero once a newer one was read. Written by
+	// reader.
+	IgnoredIndex id.Version
 	// Ready is written by spread, Draining by member.
 	Ready Readiness
 }
--- a/core/reader/reader.go
+++ b/core/reader/reader.go
@@ -214,6 +214,7 @@
 	}
 	switch digest := id.DigestOf(event.Data); {
 	case event.Index < p.known():
+		p.shared.IgnoredIndex = event.Index
 		out.Do(kernel.Count{Name: CountIndexBelow})
 		p.manifest.delay.fail(at, p.random)
 	case event.Index == p.manifest.index && digest != p.manifest.digest:
@@ -247,6 +248,7 @@
 // adopt makes the manifest the one whose parts are collected.
 func (p *plugin) adopt(event kernel.ManifestRead, digest id.Digest, out *kernel.Output) {
 	p.manifest.delay.reset()
+	p.shared.IgnoredIndex = 0
 	p.manifest.index = event.Index
 	p.manifest.after = event.Index
 	p.manifest.digest = digest
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,7 +92,9 @@
 	callers   *callerServer
 	hopServer *hop.Server
 	operators *operator.Server
-	stop      context.CancelFunc
+	// leave is closed when an operator asks for a graceful stop.
+	leave     chan struct{}
+	leaveOnce sync.Once
 	wait      sync.WaitGroup
 }
 
@@ -114,6 +116,7 @@
 		events:   make(chan kernel.Event, eventQueue),
 		queries:  make(chan func(*kernel.Kernel)),
 		stopped:  make(chan struct{}),
+		leave:    make(chan struct{}),
 	}
 	if s.PlatformURL != "" {
 		d.platform = platform.NewClient(s.PlatformURL)
@@ -138,8 +141,6 @@
 		return err
 	}
 	defer d.transport.Close()
-	ctx, d.stop = context.WithCancel(ctx)
-	defer d.stop()
 	control, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	d.wait.Add(1)
@@ -147,7 +148,10 @@
 	go d.keepGate(control)
 	go backend.Probe(control, d.settings.BackendAddress, d.settings.BackendHealthPath, d.onHealth)
 	d.log.Named("daemon").Info("started", zap.String("host", string(d.settings.Host)))
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-d.leave:
+	}
 	d.drain()
 	stopControl()
 	d.wait.Wait()
@@ -227,9 +231,6 @@
 	return &callerServer{Server: server, listener: listener}, nil
 }
 
-// requestStop starts the graceful shutdown from within.
-func (d *Daemon) requestStop() { d.stop() }
-
 // gauges registers the values that are read when metrics are collected.
 func (d *Daemon) gauges() error {
 	gauges := []struct {
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -58,9 +58,9 @@
 	return ready
 }
 
-// Drain starts the graceful shutdown.
+// Drain starts the graceful shutdown. Only the first call has an effect.
 func (d *Daemon) Drain(context.Context) error {
-	d.requestStop()
+	d.leaveOnce.Do(func() { close(d.leave) })
 	return nil
 }
 
@@ -112,6 +112,7 @@
 		shared := k.Shared()
 		status.Held = shared.HeldVersion()
 		status.InForce = shared.InForceVersion()
+		status.IgnoredIndex = shared.IgnoredIndex
 	})
 	for _, domain := range census {
 		status.Domains = append(status.Domains, domainOf(domain))
