Record and replay call traces as proofs of the call path

Cause: the promises of the call path had tests and runs, but no recorded trace with a stated outcome. Ruled out: replaying the daemons' decisions on calls; admission and choice depend on goroutines of traffic, which are not recorded. Conclusion: keep; the traces prove what happened in these runs, not every interleaving.

--- a/bench/load/compare.go
+++ b/bench/load/compare.go
@@ -193,15 +193,21 @@
 	return false
 }
 
-// cutOffAtEntry counts the calls to a daemon that ended without an answer after
-// it had begun to leave. A refusal with a reason is an answer.
-func cutOffAtEntry(records []Record, left map[id.Host]int64, layout *fleet.Layout) int {
+// leavingEntries returns when each daemon began to leave, by the address of its
+// callers.
+func leavingEntries(left map[id.Host]int64, layout *fleet.Layout) map[string]int64 {
 	leaving := map[string]int64{}
 	for _, host := range layout.Hosts {
 		if at, ok := left[host.Name]; ok {
 			leaving[host.Caller.String()] = at
 		}
 	}
+	return leaving
+}
+
+// cutOffAtEntry counts the calls to a daemon that ended without an answer after
+// it had begun to leave. A refusal with a reason is an answer.
+func cutOffAtEntry(records []Record, leaving map[string]int64) int {
 	count := 0
 	for _, record := range records {
 		at, ok := leaving[record.Address]
--- a/bench/load/experiment.go
+++ b/bench/load/experiment.go
@@ -49,6 +49,9 @@
 	// HopTransport is that of the daemons; empty is their default.
 	HopTransport string
 	FirstPort    int
+	// EvidenceFile receives the records of the callers and the journals of the
+	// backend servers; empty means none.
+	EvidenceFile string
 }
 
 // Run starts the fleet, sends the workload and stops the fleet.
@@ -148,10 +151,15 @@
 	if err != nil {
 		return Report{}, err
 	}
-	comparison := Compare(records, journals)
-	comparison.ExtraAttempts = max(comparison.ExtraAttempts, retries)
-	comparison.LostInStop += cutOffAtEntry(records, s.leaves.at, layout)
-	report := NewReport(records, comparison, e.reachable(layout, calls), e.Plan)
+	evidence := Evidence{
+		Workload: e.Workload, Policy: e.Policy, Faults: faultNames(e.Faults), Plan: e.Plan,
+		Capacity: e.reachable(layout, calls), Retries: retries,
+		Left: leavingEntries(s.leaves.at, layout), Records: records, Journals: journals,
+	}
+	if err := evidence.save(e.EvidenceFile); err != nil {
+		return Report{}, err
+	}
+	report := evidence.Report()
 	report.Baseline = Compare(baseline, journals).added(baseline)
 	return report, nil
 }
--- a/bench/load/mesh.go
+++ b/bench/load/mesh.go
@@ -17,10 +17,12 @@
 )
 
 // The policies. PolicyDirect sends calls straight to the backend servers,
-// without daemons; PolicyNoBudget lets retries exceed their budget.
+// without daemons; PolicyNoBudget lets retries exceed their budget;
+// PolicyNoRecords sends keyed calls like others.
 const (
-	PolicyDirect   = "direct"
-	PolicyNoBudget = "no_budget"
+	PolicyDirect    = "direct"
+	PolicyNoBudget  = "no_budget"
+	PolicyNoRecords = "no_records"
 )
 
 const (
@@ -33,7 +35,8 @@
 // policies returns the names of all policies, the default one first.
 func policies() []string {
 	return []string{
-		balance.LeastLoaded.String(), balance.RoundRobin.String(), balance.Random.String(), PolicyNoBudget, PolicyDirect,
+		balance.LeastLoaded.String(), balance.RoundRobin.String(), balance.Random.String(), PolicyNoBudget,
+		PolicyNoRecords, PolicyDirect,
 	}
 }
 
@@ -91,6 +94,8 @@
 	case "":
 	case PolicyNoBudget:
 		s.Experiment.NoRetryBudget = true
+	case PolicyNoRecords:
+		s.Experiment.NoRecords = true
 	default:
 		s.Experiment.Balance = e.Policy
 	}
--- a/cmd/marjoramsaddle-bench/load.go
+++ b/cmd/marjoramsaddle-bench/load.go
@@ -39,6 +39,7 @@
 	flags.StringVar(&faults, "fault", "", "one or more of "+load.FaultNames()+", separated by commas")
 	flags.StringVar(&experiment.HopTransport, "hop-transport", "", "http2 or http3; empty is the daemons' default")
 	flags.DurationVar(&experiment.ServiceTime, "service-time", defaultServiceTime, "time that a call takes at a backend server")
+	flags.StringVar(&experiment.EvidenceFile, "evidence", "", "file that receives the callers' records and the journals")
 	flags.IntVar(&experiment.FirstPort, "first-port", defaultFirstPort, "first of the ports on loopback")
 	addOutput(cmd)
 	return cmd
