Classify failed requests in one place

Cause: io/hop and io/backend had the same rule for what counts as not run, with other reasons. Ruled out: a rule in core/refusal, because it depends on the context of a request. Before: two copies of 14 lines.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -148,7 +148,9 @@
 	request := s.request(httptrace.WithClientTrace(ctx, trace), r, call)
 	response, err := s.transport.RoundTrip(request)
 	if err != nil {
-		return nil, s.classify(ctx, err, connected.Load())
+		// net/http opens a new connection by itself when it has written nothing
+		// to a broken one, so without a connection the call did not run.
+		return nil, hop.Failure(ctx, err, connected.Load(), refusal.BackendBroken)
 	}
 	if shed(response) {
 		_ = response.Body.Close()
@@ -209,22 +211,3 @@
 	}
 	return out
 }
-
-// classify claims that the call did not run only when no connection was had:
-// net/http reports no error of a connection to which it has written nothing
-// without opening a new one.
-func (s *Server) classify(ctx context.Context, err error, connected bool) *refusal.Error {
-	outcome := refusal.NotRun
-	reason := refusal.ConnectFailed
-	if connected {
-		outcome = refusal.Unknown
-		reason = refusal.BackendBroken
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = refusal.DeadlinePassed
-	case ctx.Err() != nil:
-		reason = refusal.CallerGone
-	}
-	return refusal.Wrap(reason, outcome, err)
-}
--- a/io/hop/client.go
+++ b/io/hop/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -104,7 +103,7 @@
 	call.Write(request.Header)
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
-		return nil, classify(request.Context(), err, sent.Load())
+		return nil, Failure(request.Context(), err, sent.Load(), refusal.HopBroken)
 	}
 	if refused := RefusalOf(response); refused != nil {
 		_ = response.Body.Close()
@@ -121,21 +120,5 @@
 	return c.transport.RoundTrip(request)
 }
 
-func classify(ctx context.Context, err error, sent bool) *refusal.Error {
-	outcome := refusal.NotRun
-	reason := refusal.ConnectFailed
-	if sent {
-		outcome = refusal.Unknown
-		reason = refusal.HopBroken
-	}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		reason = refusal.DeadlinePassed
-	case ctx.Err() != nil:
-		reason = refusal.CallerGone
-	}
-	return refusal.Wrap(reason, outcome, err)
-}
-
 // CloseIdle closes connections that carry no calls.
 func (c *Client) CloseIdle() { c.closeIdle() }
