Restore the strict checks of the graceful stop and the view swap

Cause: while other experiments loaded the machine, both new tests were narrowed: calls past their deadline were no faults, and the swap allowed refusals such as resyncing. No trace shows that these cases are allowed. Ruled out: keeping them narrowed for busy machines; the checks would then miss calls that a stop leaves hanging. Before: a late call and a resyncing refusal passed.

--- a/daemon/traffic_test.go
+++ b/daemon/traffic_test.go
@@ -70,15 +70,10 @@
 	}
 	request.ContentLength = int64(len(token))
 	request.Header.Set(backend.HeaderToken, token)
-	started := time.Now()
 	got := tr.fleet.do(request)
-	took := time.Since(started)
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	how, fault := judge(got, token)
-	if how != answered && how != wrong && took > deadlines[method] {
-		how, fault = late, false // the machine is busy
-	}
 	tr.ended[how]++
 	if fault {
 		tr.faults = append(tr.faults, fmt.Sprintf("%s through %s: %s", path, through, got))
@@ -93,13 +88,8 @@
 	answered = "answered"
 	unheard  = "not connected"
 	wrong    = "wrong answer"
-	late     = "past its deadline"
 )
 
-// deadlines are the shortest times after which a call may end by its deadline.
-// The daemon sets the deadline when it has read the call.
-var deadlines = map[string]time.Duration{http.MethodGet: time.Second, http.MethodPost: 3 * time.Second}
-
 // judge tells how a call ended, and whether that is a fault: a call is answered
 // whole, refused as not run, or finds no listener.
 func judge(got answer, token string) (string, bool) {
@@ -119,8 +109,8 @@
 	return answered, false
 }
 
-// check compares the orders with the journals: an answered order ran once, one
-// past its deadline at most once, any other did not run.
+// check compares the orders with the journals: an answered order ran once, any
+// other did not run.
 func (tr *traffic) check(is *is.I) {
 	is.Helper()
 	ran := map[string]int{}
@@ -132,14 +122,11 @@
 		}
 	}
 	for token, how := range tr.orders {
-		least, most := 0, 0
-		switch how {
-		case answered:
-			least, most = 1, 1
-		case late:
-			most = 1
+		want := 0
+		if how == answered {
+			want = 1
 		}
-		if ran[token] < least || ran[token] > most {
+		if ran[token] != want {
 			tr.faults = append(tr.faults, fmt.Sprintf("order %s ran %d times: %s", token, ran[token], how))
 		}
 	}
@@ -191,7 +178,5 @@
 	tr.end()
 	t.Log(tr.ended)
 	tr.check(is)
-	for _, reason := range []string{"no_route", "no_endpoint", "no_configuration"} {
-		is.Equal(tr.ended["not run "+reason], 0) // the view had a gap
-	}
+	is.Equal(tr.ended, map[string]int{answered: tr.ended[answered]}) // any refusal is a gap of the view
 }
