--- /dev/null
+++ b/core/backend/backend.go
@@ -0,0 +1,137 @@
+// Package backend holds the table of the backend servers that the platform
+// lists, and decides which of them may get new work.
+//
+// An entry that disappears right after the store was out of reach may have
+// lapsed only because its owner could not renew it. Such a backend server is
+// kept for the time within which the platform promises its return; any other
+// disappearance takes effect at once.
+//
+// Usage:
+//
+//	table := backend.NewTable()
+//	table.Put(server, now)
+//	table.Remove("i-7f3a", now, lapsed)
+//	usable := table.Usable(now)
+package backend
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"marjoramsaddle/core/id"
+)
+
+//go:generate stringer -type=State -linecomment -output=backend_string.go
+
+// lapseHold is how long a lapsed entry is kept. The platform promises its
+// return within about two seconds.
+const lapseHold = 1800 * time.Millisecond
+
+// ID names one start of a backend server, mostly.
+type ID string
+
+// State says whether a backend server takes new work.
+type State int
+
+// The states of a backend server.
+const (
+	Ready    State = iota // ready
+	Draining              // draining
+)
+
+// Server is one backend server as the platform lists it.
+type Server struct {
+	ID      ID
+	Address string
+	Service id.Service
+	Domain  id.Domain
+	Slots   int
+	State   State
+	// Born is the start of this process; an id may start again.
+	Born     id.Instant
+	Sequence uint64
+	// ColdLeft is how much longer the server was slow when it wrote the entry.
+	ColdLeft time.Duration
+	// ColdUntil is when the slow time ends, on this daemon's clock.
+	ColdUntil id.Instant
+}
+
+// Table holds the listed backend servers. It is not safe for concurrent use.
+type Table struct {
+	servers map[ID]Server
+	// lapsed holds the instants at which lapsed entries are given up.
+	lapsed map[ID]id.Instant
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{servers: map[ID]Server{}, lapsed: map[ID]id.Instant{}}
+}
+
+// Put adds or replaces a server and reports whether more than its sequence has
+// changed.
+func (t *Table) Put(server Server, now id.Instant) bool {
+	server.ColdUntil = now.Add(server.ColdLeft)
+	known, found := t.servers[server.ID]
+	t.servers[server.ID] = server
+	delete(t.lapsed, server.ID)
+	known.Sequence, known.ColdLeft, known.ColdUntil = server.Sequence, server.ColdLeft, server.ColdUntil
+	return !found || known != server
+}
+
+// Remove takes a server out, or keeps it for a while when its entry has only
+// lapsed.
+func (t *Table) Remove(name ID, now id.Instant, lapsed bool) {
+	known, found := t.servers[name]
+	if !found {
+		return
+	}
+	if lapsed && known.State == Ready {
+		if _, held := t.lapsed[name]; !held {
+			t.lapsed[name] = now.Add(lapseHold)
+		}
+		return
+	}
+	delete(t.servers, name)
+	delete(t.lapsed, name)
+}
+
+// Expire gives up the lapsed servers that have not returned and reports
+// whether there were any.
+func (t *Table) Expire(now id.Instant) bool {
+	changed := false
+	for name, until := range t.lapsed {
+		if until.Before(now) {
+			delete(t.lapsed, name)
+			delete(t.servers, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// All returns every listed server ordered by id.
+func (t *Table) All() []Server {
+	all := make([]Server, 0, len(t.servers))
+	for _, server := range t.servers {
+		all = append(all, server)
+	}
+	slices.SortFunc(all, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// At returns the newest server with the given address.
+func (t *Table) At(address string) (Server, bool) {
+	var newest Server
+	found := false
+	for _, server := range t.servers {
+		if server.Address != address {
+			continue
+		}
+		if !found || server.Born > newest.Born || server.Born == newest.Born && server.ID > newest.ID {
+			newest, found = server, true
+		}
+	}
+	return newest, found
+}
--- /dev/null
+++ b/io/control/changes.go
@@ -0,0 +1,103 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/io/http1"
+)
+
+const (
+	changesPath = "/changes"
+	// longestWait bounds how long a call for changes waits.
+	longestWait = 10 * time.Second
+	// ageHeader carries how long ago the copy was known to be current.
+	ageHeader = "Marjoramsaddle-Store-Age-Ms"
+)
+
+// Handler serves the changes of the store to other daemons.
+type Handler struct {
+	mirror *mirror.Mirror
+	// age returns how long ago the copy was known to be current.
+	age func() time.Duration
+}
+
+// NewHandler returns a handler for the copy.
+func NewHandler(copied *mirror.Mirror, age func() time.Duration) *Handler {
+	return &Handler{mirror: copied, age: age}
+}
+
+// ServeHTTP answers with the changes behind a revision, at once or at the
+// first one within the given time.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != changesPath || r.Method != http.MethodGet {
+		http.NotFound(w, r)
+		return
+	}
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after must be a revision", http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
+	if err != nil || wait < 0 {
+		http.Error(w, "wait_ms must be a number of milliseconds", http.StatusBadRequest)
+		return
+	}
+	changes := h.await(r.Context(), mirror.Revision(after), min(longestWait, time.Duration(wait)*time.Millisecond))
+	w.Header().Set(ageHeader, strconv.FormatInt(h.age().Milliseconds(), 10))
+	// A failed write shows at the reader, which calls again.
+	_ = json.NewEncoder(w).Encode(changes)
+}
+
+func (h *Handler) await(ctx context.Context, after mirror.Revision, wait time.Duration) mirror.Changes {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, advanced := h.mirror.Since(after)
+		if changes.AsOf > after {
+			return changes
+		}
+		select {
+		case <-advanced:
+		case <-timer.C:
+			return changes
+		case <-ctx.Done():
+			return changes
+		}
+	}
+}
+
+// Client fetches changes from other daemons.
+type Client struct{ pool *http1.Pool }
+
+// NewClient returns a client.
+func NewClient(pool *http1.Pool) *Client { return &Client{pool: pool} }
+
+// Changes returns the changes behind the revision that the daemon at the
+// address knows, and how long ago its copy was known to be current.
+func (c *Client) Changes(ctx context.Context, address string, after mirror.Revision, wait time.Duration) (mirror.Changes, time.Duration, error) {
+	target := fmt.Sprintf("%s?after=%d&wait_ms=%d", changesPath, after, wait.Milliseconds())
+	answer, err := c.pool.Do(ctx, address, &http1.Request{Method: http.MethodGet, Target: target, Host: address, Header: http.Header{}})
+	if err != nil {
+		return mirror.Changes{}, 0, err
+	}
+	if answer.Status != http.StatusOK {
+		return mirror.Changes{}, 0, fmt.Errorf("control: %s answered %d", address, answer.Status)
+	}
+	age, err := strconv.ParseInt(answer.Header.Get(ageHeader), 10, 64)
+	if err != nil {
+		return mirror.Changes{}, 0, fmt.Errorf("control: %s: bad age: %w", address, err)
+	}
+	var changes mirror.Changes
+	if err := json.Unmarshal(answer.Body, &changes); err != nil {
+		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
+	}
+	return changes, time.Duration(age) * time.Millisecond, nil
+}
+
--- /dev/null
+++ b/io/http1/pool.go
@@ -0,0 +1,365 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// bufferSize of a connection's reader and writer; most messages fit.
+	bufferSize = 4 << 10
+	// maxSkipped is how many answers to earlier requests are skipped before the
+	// connection is given up.
+	maxSkipped = 2
+	// keepAliveMargin is taken off the idle time that a server announces, since
+	// its clock started earlier than ours.
+	keepAliveMargin = time.Second
+)
+
+// ErrTooLong says that an answer exceeds what is held in memory.
+var ErrTooLong = errors.New("http1: the answer is longer than the limit")
+
+// errOtherRequest says that only answers to other requests arrived.
+var errOtherRequest = errors.New("http1: the answers belong to other requests")
+
+// Failure is a request without a complete answer.
+type Failure struct {
+	// Sent is set when a byte of the request may have reached the peer.
+	Sent bool
+	// Reused is set when the connection had served other requests before.
+	Reused bool
+	Cause  error
+}
+
+// Error returns what was sent and the cause.
+func (f *Failure) Error() string {
+	if f.Sent {
+		return "the request was sent and has no complete answer: " + f.Cause.Error()
+	}
+	return "the request was not sent: " + f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Request is sent as it stands.
+type Request struct {
+	Method string
+	// Target is the path and query as the client wrote them.
+	Target string
+	Host   string
+	Header http.Header
+	// Body is the whole body, or nil when Stream is set or there is none.
+	Body []byte
+	// Stream is a body of Length bytes; a Length below zero is unknown.
+	Stream io.Reader
+	Length int64
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// PoolOptions of a Pool.
+type PoolOptions struct {
+	// DialTimeout bounds a new connection.
+	DialTimeout time.Duration
+	// IdleLimit is how long an unused connection is kept.
+	IdleLimit time.Duration
+	// MaxBody bounds an answer's body.
+	MaxBody int64
+	// Matches reports whether an answer belongs to the request, by the headers
+	// of both. Nil accepts every answer.
+	Matches func(request, answer http.Header) bool
+	// Dialled is called after each new connection, if set.
+	Dialled func(address string)
+}
+
+// Pool sends requests over kept connections, one at a time on each. It repeats
+// nothing. It is safe for concurrent use.
+type Pool struct {
+	options PoolOptions
+	dialer  net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*clientConn
+}
+
+type clientConn struct {
+	conn    *Conn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	address string
+	used    bool
+	expires time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(options PoolOptions) *Pool {
+	return &Pool{
+		options: options,
+		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1},
+		idle:    map[string][]*clientConn{},
+	}
+}
+
+// Do sends the request and returns the whole answer. The error is a *Failure.
+func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
+	conn, err := p.connection(ctx, address)
+	if err != nil {
+		return nil, &Failure{Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
+	answer, reusable, err := p.exchange(conn, request)
+	if !stop() || !reusable || err != nil {
+		_ = conn.conn.Close()
+	} else {
+		p.keep(conn)
+	}
+	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, &Failure{Sent: true, Reused: conn.used, Cause: err}
+	}
+	return answer, nil
+}
+
+func (p *Pool) exchange(conn *clientConn, request *Request) (answer *Answer, reusable bool, err error) {
+	wire := request.wire()
+	written := make(chan error, 1)
+	if request.Stream == nil {
+		written <- conn.send(wire)
+	} else {
+		// The peer may answer before it has read a long body.
+		go func() { written <- conn.send(wire) }()
+	}
+	for skipped := 0; ; skipped++ {
+		response, err := http.ReadResponse(conn.reader, wire)
+		if err != nil {
+			return nil, false, err
+		}
+		if response.StatusCode == http.StatusContinue {
+			continue
+		}
+		body, err := p.readBody(response)
+		if err != nil {
+			return nil, false, err
+		}
+		if p.options.Matches != nil && !p.options.Matches(request.Header, response.Header) {
+			if skipped == maxSkipped {
+				return nil, false, errOtherRequest
+			}
+			continue
+		}
+		answer = &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
+		return answer, conn.reusable(response, written), nil
+	}
+}
+
+// reusable reports whether the connection can carry another request: the whole
+// request went out, the whole answer came in, and nothing came after it.
+func (c *clientConn) reusable(response *http.Response, written <-chan error) bool {
+	select {
+	case err := <-written:
+		if err != nil {
+			return false
+		}
+	default:
+		return false
+	}
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return false
+	}
+	c.expires = announcedIdle(response.Header)
+	return c.reader.Buffered() == 0 && c.conn.Quiet()
+}
+
+// announcedIdle returns when the peer closes the connection, by its Keep-Alive
+// header, or zero.
+func announcedIdle(header http.Header) time.Time {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if whole, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && whole >= 0 {
+			return time.Now().Add(time.Duration(whole)*time.Second - keepAliveMargin)
+		}
+	}
+	return time.Time{}
+}
+
+func (c *clientConn) send(wire *http.Request) error {
+	if err := wire.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+func (p *Pool) readBody(response *http.Response) ([]byte, error) {
+	defer func() { _ = response.Body.Close() }()
+	if response.Body == http.NoBody {
+		return nil, nil
+	}
+	if response.ContentLength > p.options.MaxBody {
+		return nil, ErrTooLong
+	}
+	if response.ContentLength >= 0 {
+		body := make([]byte, response.ContentLength)
+		if _, err := io.ReadFull(response.Body, body); err != nil {
+			return nil, fmt.Errorf("http1: the answer is cut off: %w", err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, p.options.MaxBody+1))
+	if err != nil {
+		return nil, fmt.Errorf("http1: the answer is cut off: %w", err)
+	}
+	if int64(len(body)) > p.options.MaxBody {
+		return nil, ErrTooLong
+	}
+	return body, nil
+}
+
+// wire builds the message. Opaque keeps the path as the client wrote it.
+func (r *Request) wire() *http.Request {
+	out := &http.Request{
+		Method: r.Method, Host: r.Host, Header: r.Header,
+		URL:   &url.URL{Scheme: "http", Host: r.Host, Opaque: r.Target},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if strings.HasPrefix(r.Target, "//") {
+		// net/http would take an opaque path of this form for an authority.
+		if parsed, err := url.ParseRequestURI(r.Target); err == nil {
+			out.URL = parsed
+		}
+	}
+	if _, found := out.Header["User-Agent"]; !found {
+		// An absent field would be filled in by net/http.
+		out.Header["User-Agent"] = nil
+	}
+	switch {
+	case r.Stream != nil:
+		out.Body, out.ContentLength = io.NopCloser(r.Stream), r.Length
+	case len(r.Body) > 0:
+		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
+	}
+	return out
+}
+
+// connection returns the connection that was used last, or a new one.
+func (p *Pool) connection(ctx context.Context, address string) (*clientConn, error) {
+	for {
+		conn := p.take(address)
+		if conn == nil {
+			break
+		}
+		if conn.conn.Quiet() {
+			conn.used = true
+			return conn, nil
+		}
+		_ = conn.conn.Close()
+	}
+	inner, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.options.Dialled != nil {
+		p.options.Dialled(address)
+	}
+	conn := NewConn(inner)
+	return &clientConn{
+		conn: conn, address: address,
+		reader: bufio.NewReaderSize(conn, bufferSize),
+		writer: bufio.NewWriterSize(conn, bufferSize),
+	}, nil
+}
+
+func (p *Pool) take(address string) *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	conn := kept[len(kept)-1]
+	p.idle[address] = kept[:len(kept)-1]
+	if time.Now().After(conn.expires) {
+		// The others have been idle for longer still.
+		p.dropAll(address)
+		_ = conn.conn.Close()
+		return nil
+	}
+	return conn
+}
+
+func (p *Pool) keep(conn *clientConn) {
+	limit := time.Now().Add(p.options.IdleLimit)
+	if conn.expires.IsZero() || conn.expires.After(limit) {
+		conn.expires = limit
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[conn.address] = append(p.idle[conn.address], conn)
+}
+
+// Expire closes the connections that have been idle for too long. Its owner
+// calls it every second or so.
+func (p *Pool) Expire() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, kept := range p.idle {
+		fresh := kept[:0]
+		for _, conn := range kept {
+			if now.After(conn.expires) || !conn.conn.Quiet() {
+				_ = conn.conn.Close()
+				continue
+			}
+			fresh = append(fresh, conn)
+		}
+		if len(fresh) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = fresh
+	}
+}
+
+// Forget closes the idle connections to the address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropAll(address)
+}
+
+func (p *Pool) dropAll(address string) {
+	for _, conn := range p.idle[address] {
+		_ = conn.conn.Close()
+	}
+	delete(p.idle, address)
+}
+
+// Clear closes all idle connections.
+func (p *Pool) Clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.idle {
+		p.dropAll(address)
+	}
+}
--- /dev/null
+++ b/io/ingress/ingress.go
@@ -0,0 +1,198 @@
+// Package ingress accepts the requests of the clients and of the backend server
+// on this host and brings each one its whole answer: it finds the route,
+// chooses a backend server, sends the request to the daemon beside it, and
+// tries another where that is safe and useful.
+//
+// Usage:
+//
+//	handler := ingress.New(ingress.Options{...})
+//	server := &http.Server{Handler: handler, ConnContext: http1.ConnContext}
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/placement"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/retry"
+	"marjoramsaddle/core/route"
+	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/relay"
+)
+
+const (
+	// answerGrace is how long after its deadline a request waits for an answer
+	// that is on its way, such as the backend server's own.
+	answerGrace = 80 * time.Millisecond
+	// defaultPatience bounds a request for which neither client nor route says
+	// how long it may take.
+	defaultPatience = 10 * time.Second
+)
+
+// Dialect reads and writes the headers that clients and backend servers speak.
+type Dialect interface {
+	RequestID(header http.Header) string
+	Patience(header http.Header) (time.Duration, bool)
+	SetCaller(header http.Header, service id.Service)
+}
+
+// Sender hands a request to the daemon beside a backend server.
+type Sender interface {
+	Do(ctx context.Context, server *backend.Server, call relay.Call, request *http1.Request) (*http1.Answer, *refusal.Error)
+}
+
+// Chooser picks the backend server of an attempt and learns from its result.
+type Chooser interface {
+	Choose(request placement.Request) (placement.Choice, bool)
+	Started(server backend.ID)
+	Finished(server backend.ID, result placement.Result, now id.Instant)
+}
+
+// Recorder counts and logs requests.
+type Recorder interface {
+	Done(record *Record)
+	Retry(reason refusal.Reason)
+}
+
+// Options of a Handler.
+type Options struct {
+	Service id.Service
+	Dialect Dialect
+	Chooser Chooser
+	Sender  Sender
+	// Table returns the configuration in force, or nil.
+	Table func() *route.Table
+	// Budget returns the retry budget of a service.
+	Budget   func(service id.Service) *retry.Budget
+	Recorder Recorder
+	Now      func() id.Instant
+}
+
+// Handler accepts requests.
+type Handler struct{ options Options }
+
+// New returns a handler.
+func New(options Options) *Handler { return &Handler{options: options} }
+
+// Record is what is known of a request at its end.
+type Record struct {
+	RequestID string
+	Route     string
+	Service   id.Service
+	Version   id.Version
+	// Server is the backend server of the last attempt.
+	Server   backend.ID
+	Attempts int
+	// Arrivals counts the attempts that reached a backend server.
+	Arrivals int
+	Status   int
+	Refused  *refusal.Error
+	Took     time.Duration
+	Left     time.Duration
+	Aim      time.Duration
+	Expected time.Duration
+}
+
+// job is one request on its way.
+type job struct {
+	route    *route.Found
+	service  id.Service
+	request  *http1.Request
+	arrived  id.Instant
+	deadline id.Instant
+	record   Record
+	exclude  []backend.ID
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	j := &job{arrived: h.options.Now()}
+	j.record.RequestID = h.options.Dialect.RequestID(r.Header)
+	answer, refused := h.serve(r, j)
+	j.record.Refused = refused
+	j.record.Took = h.options.Now().Sub(j.arrived)
+	j.record.Left = j.deadline.Sub(h.options.Now())
+	switch {
+	case refused == nil:
+		j.record.Status = answer.Status
+		relay.WriteAnswer(w, answer)
+	case refused.Reason == refusal.CallerGone:
+		h.options.Recorder.Done(&j.record)
+		// Nobody reads an answer; net/http must not write one of its own.
+		panic(http.ErrAbortHandler)
+	default:
+		h.refuse(w, j, refused)
+	}
+	h.options.Recorder.Done(&j.record)
+}
+
+func (h *Handler) serve(r *http.Request, j *job) (*http1.Answer, *refusal.Error) {
+	table := h.options.Table()
+	if table == nil {
+		return nil, refusal.New(refusal.NoConfiguration, refusal.NotRun)
+	}
+	j.record.Version = table.Version
+	j.route = table.Find(r.Host, r.URL.Path)
+	if j.route == nil {
+		return nil, refusal.New(refusal.NoRoute, refusal.NotRun)
+	}
+	h.plan(r, j)
+	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		return nil, refusal.New(refusal.BodyTooLarge, refusal.NotRun)
+	}
+	request, refused := relay.NewRequest(r)
+	if refused != nil {
+		if r.Context().Err() != nil {
+			return nil, refusal.New(refusal.CallerGone, refusal.NotRun)
+		}
+		return nil, refused
+	}
+	h.options.Dialect.SetCaller(request.Header, h.options.Service)
+	j.request = request
+	ctx, cancel := context.WithTimeout(r.Context(), j.deadline.Sub(h.options.Now())+answerGrace)
+	defer cancel()
+	return h.attempts(ctx, j)
+}
+
+// plan sets what the route and the client say about the request.
+func (h *Handler) plan(r *http.Request, j *job) {
+	patience, known := h.options.Dialect.Patience(r.Header)
+	if !known {
+		patience = defaultPatience
+	}
+	if timeout := j.route.Timeout; timeout > 0 {
+		patience = min(patience, timeout)
+	}
+	j.deadline = j.arrived.Add(patience)
+	j.service = j.route.Next()
+	j.record.Route, j.record.Service, j.record.Aim = j.route.Name, j.service, j.route.Aim
+}
+
+// refuse answers a request that has no answer of a backend server. The status
+// 503 promises that the request has not run.
+func (h *Handler) refuse(w http.ResponseWriter, j *job, refused *refusal.Error) {
+	status := http.StatusBadGateway
+	switch {
+	case refused.Reason == refusal.NoRoute:
+		status = http.StatusNotFound
+	case refused.Reason == refusal.BodyTooLarge:
+		status = http.StatusRequestEntityTooLarge
+	case refused.Reason == refusal.BadRequest:
+		status = http.StatusBadRequest
+	case refused.Outcome == refusal.NotRun:
+		status = http.StatusServiceUnavailable
+		after := retry.After(j.record.Expected, rand.Uint64())
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	case refused.Reason == refusal.DeadlinePassed:
+		status = http.StatusGatewayTimeout
+	}
+	j.record.Status = status
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/io/relay/call.go
@@ -0,0 +1,141 @@
+// Package relay carries requests between daemons over HTTP/1.1. The request
+// keeps its method, path, body and headers; a few headers of the daemons' own
+// say what the next daemon needs. A refusal and the load of the backend server
+// travel back in headers as well.
+//
+// The platform gives no keys, so a daemon cannot prove who it is. A request
+// names the one backend server that may run it, and the receiving daemon
+// refuses any other, so a stray or forged request gains nothing over one that
+// is sent to the daemon of its own host.
+//
+// Usage:
+//
+//	answer, refused := relay.NewClient(pool, hopPort).Do(ctx, server, call, request)
+//	http.Serve(listener, relay.NewHandler(local))
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/placement"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/http1"
+)
+
+// The headers that daemons exchange. Ingress removes them from what clients
+// send.
+const (
+	headerPrefix  = "Marjoramsaddle-"
+	headerServer  = headerPrefix + "Server"
+	headerLeft    = headerPrefix + "Left-Us"
+	headerRank    = headerPrefix + "Rank"
+	headerNoWait  = headerPrefix + "No-Wait"
+	headerOutcome = headerPrefix + "Outcome"
+	headerReason  = headerPrefix + "Reason"
+	headerLoad    = headerPrefix + "Load"
+)
+
+// flagSet is the value of a header that is a flag.
+const flagSet = "1"
+
+// Call is what daemons tell each other about a request.
+type Call struct {
+	// Server is the only backend server that may run the request.
+	Server backend.ID
+	// Left is the time until the deadline. Clocks differ between hosts, so a
+	// span travels and each host keeps a deadline of its own.
+	Left time.Duration
+	// Rank is the priority; zero is the most urgent.
+	Rank int
+	// NoWait refuses the request when no slot is free.
+	NoWait bool
+}
+
+// Local passes requests to the backend server beside this daemon.
+type Local interface {
+	Send(ctx context.Context, call Call, request *http1.Request) (*http1.Answer, *refusal.Error)
+	Load() placement.Report
+}
+
+func (c Call) write(header http.Header) {
+	header.Set(headerServer, string(c.Server))
+	header.Set(headerLeft, strconv.FormatInt(c.Left.Microseconds(), 10))
+	header.Set(headerRank, strconv.Itoa(c.Rank))
+	if c.NoWait {
+		header.Set(headerNoWait, flagSet)
+	}
+}
+
+var errCallHeaders = errors.New("relay: the headers of the call are missing or wrong")
+
+func readCall(header http.Header) (Call, error) {
+	left, err := strconv.ParseInt(header.Get(headerLeft), 10, 64)
+	if err != nil {
+		return Call{}, errCallHeaders
+	}
+	rank, err := strconv.Atoi(header.Get(headerRank))
+	if err != nil || header.Get(headerServer) == "" {
+		return Call{}, errCallHeaders
+	}
+	return Call{
+		Server: backend.ID(header.Get(headerServer)),
+		Left:   time.Duration(left) * time.Microsecond,
+		Rank:   rank,
+		NoWait: header.Get(headerNoWait) == flagSet,
+	}, nil
+}
+
+// Strip removes the daemons' own headers.
+func Strip(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(header, name)
+		}
+	}
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// Forwardable copies the headers that do not concern one connection only.
+func Forwardable(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, field := range header.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		copied.Del(name)
+	}
+	return copied
+}
+
+func formatLoad(report placement.Report) string {
+	leaving := 0
+	if report.Leaving {
+		leaving = 1
+	}
+	return fmt.Sprintf("%d %d %d %d %d", report.Running, report.Queued, report.Slots, report.Service.Microseconds(), leaving)
+}
+
+func parseLoad(text string) (placement.Report, bool) {
+	var report placement.Report
+	var micros int64
+	var leaving int
+	if _, err := fmt.Sscanf(text, "%d %d %d %d %d", &report.Running, &report.Queued, &report.Slots, &micros, &leaving); err != nil {
+		return placement.Report{}, false
+	}
+	report.Service = time.Duration(micros) * time.Microsecond
+	report.Leaving = leaving == 1
+	return report, true
+}
--- /dev/null
+++ b/io/relay/handler.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/http1"
+)
+
+// BufferedBody is the size up to which a request body is read whole before the
+// request goes on, so that a slow sender holds no slot and the request can be
+// sent again. Orders of both users are below 8 KB.
+const BufferedBody = 256 << 10
+
+// Handler accepts requests of other daemons.
+type Handler struct{ local Local }
+
+// NewHandler returns a handler that passes requests to the local backend
+// server.
+func NewHandler(local Local) *Handler { return &Handler{local: local} }
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call, err := readCall(r.Header)
+	if err != nil {
+		h.refuse(w, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err))
+		return
+	}
+	request, refused := NewRequest(r)
+	if refused != nil {
+		h.refuse(w, refused)
+		return
+	}
+	answer, refused := h.local.Send(r.Context(), call, request)
+	if r.Context().Err() != nil && (refused != nil && refused.Reason == refusal.CallerGone) {
+		panic(http.ErrAbortHandler)
+	}
+	if refused != nil {
+		h.refuse(w, refused)
+		return
+	}
+	header := w.Header()
+	header.Set(headerOutcome, refusal.Ran.String())
+	header.Set(headerLoad, formatLoad(h.local.Load()))
+	WriteAnswer(w, answer)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, refused *refusal.Error) {
+	header := w.Header()
+	header.Set(headerOutcome, refused.Outcome.String())
+	header.Set(headerReason, refused.Reason.String())
+	header.Set(headerLoad, formatLoad(h.local.Load()))
+	header.Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// NewRequest takes over a request that a server has read, and its body when it
+// is short.
+func NewRequest(r *http.Request) (*http1.Request, *refusal.Error) {
+	header := Forwardable(r.Header)
+	Strip(header)
+	request := &http1.Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Length: r.ContentLength,
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return request, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, BufferedBody))
+	if err != nil {
+		return nil, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err)
+	}
+	if len(body) < BufferedBody {
+		request.Body, request.Length = body, int64(len(body))
+		return request, nil
+	}
+	request.Stream = io.MultiReader(bytes.NewReader(body), r.Body)
+	return request, nil
+}
+
+// WriteAnswer writes a whole answer.
+func WriteAnswer(w http.ResponseWriter, answer *http1.Answer) {
+	header := w.Header()
+	for name, values := range Forwardable(answer.Header) {
+		header[name] = values
+	}
+	if answer.Status != http.StatusNoContent && answer.Status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	if _, found := header["Date"]; !found {
+		header["Date"] = nil
+	}
+	if _, found := header["Content-Type"]; !found {
+		header["Content-Type"] = nil
+	}
+	w.WriteHeader(answer.Status)
+	// A failed write ends the connection, which the reader notices.
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/io/server/server.go
@@ -0,0 +1,261 @@
+// Package server speaks to the backend server beside this daemon over HTTP/1.1.
+// It admits requests, sends each one once, and returns whole answers only. No
+// other daemon reaches this backend server, so the slots in use are known here.
+//
+// Usage:
+//
+//	local := server.New(server.Options{Address: "192.0.2.1:8080", ...})
+//	local.SetCurrent(listed, true)
+//	answer, refused := local.Send(ctx, call, request)
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/document"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/placement"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/relay"
+)
+
+const (
+	// expireInterval is how often queued requests are checked for their
+	// deadlines. It is short against the response times of both users.
+	expireInterval = 5 * time.Millisecond
+	// answerGrace is how long after the deadline the backend server's own answer
+	// is still awaited. It answers at the deadline, a little later on the wire.
+	answerGrace = 40 * time.Millisecond
+	// assumedSlots is used before the platform lists the backend server; no
+	// request is sent until then.
+	assumedSlots = 1
+)
+
+// Dialect reads and writes the headers that the backend server speaks.
+type Dialect interface {
+	Prepare(header http.Header, left time.Duration, server backend.ID)
+	Genuine(header http.Header) bool
+	Rejected(status int, header http.Header) bool
+	Instance(header http.Header) backend.ID
+}
+
+// Options of a Server.
+type Options struct {
+	Address string
+	Pool    *http1.Pool
+	Dialect Dialect
+	Now     func() id.Instant
+}
+
+// Server passes requests to the backend server beside this daemon.
+type Server struct {
+	options Options
+	gate    *admission.Gate
+	current atomic.Pointer[backend.Server]
+	leaving atomic.Bool
+
+	mu          sync.Mutex
+	connections int
+	service     serviceTime
+}
+
+// New returns a server that refuses everything until SetCurrent.
+func New(options Options) *Server {
+	return &Server{options: options, gate: admission.NewGate(assumedSlots, assumedSlots)}
+}
+
+// SetCurrent says which backend server is listed at the address, if any.
+func (s *Server) SetCurrent(current backend.Server, listed bool) {
+	if !listed {
+		s.current.Store(nil)
+		return
+	}
+	former := s.current.Swap(&current)
+	if former == nil || former.ID != current.ID || former.Born != current.Born {
+		// Connections to the former process lead nowhere.
+		s.options.Pool.Forget(s.options.Address)
+		s.mu.Lock()
+		s.service = serviceTime{}
+		s.mu.Unlock()
+	}
+	s.resize(current.Slots)
+}
+
+// SetConnections bounds the connections to the backend server.
+func (s *Server) SetConnections(connections int) {
+	s.mu.Lock()
+	s.connections = connections
+	s.mu.Unlock()
+	if current := s.current.Load(); current != nil {
+		s.resize(current.Slots)
+	}
+}
+
+func (s *Server) resize(slots int) {
+	s.mu.Lock()
+	connections := s.connections
+	s.mu.Unlock()
+	if connections <= 0 {
+		connections = slots
+	}
+	s.gate.Resize(s.options.Now(), slots, connections)
+}
+
+// SetLeaving tells other daemons that this one stops.
+func (s *Server) SetLeaving() { s.leaving.Store(true) }
+
+// Current returns the backend server at the address.
+func (s *Server) Current() *backend.Server { return s.current.Load() }
+
+// Load returns the load of the backend server.
+func (s *Server) Load() placement.Report {
+	running, queued := s.gate.Load()
+	report := placement.Report{Running: running, Queued: queued, Leaving: s.leaving.Load(), At: s.options.Now()}
+	current := s.current.Load()
+	if current == nil {
+		report.Leaving = true
+		return report
+	}
+	report.Server, report.Slots = current.ID, current.Slots
+	report.Leaving = report.Leaving || current.State == backend.Draining
+	s.mu.Lock()
+	report.Service = s.service.mean
+	s.mu.Unlock()
+	return report
+}
+
+// Expire ends the requests whose time in the queue has passed, until the
+// context ends.
+func (s *Server) Expire(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.gate.Waiting():
+		}
+		for s.gate.Expire(s.options.Now()) > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(expireInterval):
+			}
+		}
+	}
+}
+
+// Send admits the request, sends it to the backend server and returns the whole
+// answer.
+func (s *Server) Send(ctx context.Context, call relay.Call, request *http1.Request) (*http1.Answer, *refusal.Error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Left+answerGrace)
+	defer cancel()
+	now := s.options.Now()
+	deadline := now.Add(call.Left)
+	if refused := s.check(call.Server); refused != nil {
+		return nil, refused
+	}
+	queueDeadline := deadline
+	if call.NoWait {
+		queueDeadline = now
+	}
+	ticket, refused := s.gate.Enter(ctx, now, classOf(call.Rank), deadline, queueDeadline)
+	if refused != nil {
+		return nil, refused
+	}
+	defer func() { ticket.Leave(s.options.Now()) }()
+	// The backend server may have been replaced while the request was queued.
+	if refused := s.check(call.Server); refused != nil {
+		return nil, refused
+	}
+	started := s.options.Now()
+	if !started.Before(deadline) {
+		return nil, refusal.New(refusal.DeadlinePassed, refusal.NotRun)
+	}
+	s.options.Dialect.Prepare(request.Header, deadline.Sub(started), call.Server)
+	answer, err := s.options.Pool.Do(ctx, s.options.Address, request)
+	if err != nil {
+		return nil, failure(ctx, err)
+	}
+	if refused := s.classify(answer); refused != nil {
+		return nil, refused
+	}
+	s.mu.Lock()
+	s.service.sample(s.options.Now().Sub(started))
+	s.mu.Unlock()
+	return answer, nil
+}
+
+func (s *Server) check(wanted backend.ID) *refusal.Error {
+	current := s.current.Load()
+	switch {
+	case current == nil || current.ID != wanted:
+		return refusal.New(refusal.NoEndpoint, refusal.NotRun)
+	case current.State == backend.Draining:
+		return refusal.New(refusal.Leaving, refusal.NotRun)
+	}
+	return nil
+}
+
+var (
+	errRejected   = errors.New("the backend server has not run the request")
+	errNoStamp    = errors.New("the answer does not bear the mark of the backend server")
+	errOtherOwner = errors.New("another backend server has the address")
+)
+
+// classify returns the refusal for an answer that must not reach the client.
+func (s *Server) classify(answer *http1.Answer) *refusal.Error {
+	switch {
+	case answer.Status == http.StatusMisdirectedRequest:
+		return refusal.Wrap(refusal.WrongIdentity, refusal.NotRun, errOtherOwner)
+	case s.options.Dialect.Rejected(answer.Status, answer.Header):
+		return refusal.Wrap(refusal.BackendShed, refusal.NotRun, errRejected)
+	case !s.options.Dialect.Genuine(answer.Header):
+		return refusal.Wrap(refusal.BackendBroken, refusal.Unknown, errNoStamp)
+	}
+	return nil
+}
+
+func failure(ctx context.Context, err error) *refusal.Error {
+	outcome, reason := refusal.Unknown, refusal.BackendBroken
+	var failed *http1.Failure
+	if errors.As(err, &failed) && !failed.Sent {
+		outcome, reason = refusal.NotRun, refusal.ConnectFailed
+	}
+	if ctx.Err() != nil {
+		reason = relay.EndedBy(ctx)
+	}
+	return refusal.Wrap(reason, outcome, err)
+}
+
+// classOf maps the priorities of routes to the classes of the gate.
+func classOf(rank int) document.Class {
+	switch rank {
+	case 0:
+		return document.ClassOrder
+	case 1:
+		return document.ClassLookup
+	default:
+		return document.ClassInternal
+	}
+}
+
+// serviceWeight is the weight of one sample in the mean service time.
+const serviceWeight = 1.0 / 32
+
+// serviceTime is the mean time that the backend server takes for a request.
+type serviceTime struct{ mean time.Duration }
+
+func (t *serviceTime) sample(took time.Duration) {
+	if t.mean == 0 {
+		t.mean = took
+		return
+	}
+	t.mean += time.Duration(serviceWeight * float64(took-t.mean))
+}
--- /dev/null
+++ b/sidecar/follow.go
@@ -0,0 +1,231 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/io/control"
+	"marjoramsaddle/platform"
+)
+
+const (
+	// watchWait is how long a watch of the store waits. A watch may hear nothing
+	// while changes are made, so its silence must not last long against the
+	// seconds within which a change has to be in force.
+	watchWait = time.Second
+	// callMargin is allowed for the way to the store and back. A call that takes
+	// longer is on a connection that has gone silent.
+	callMargin = 600 * time.Millisecond
+	// batchPause lets changes gather between two watches.
+	batchPause = 100 * time.Millisecond
+	// firstBackoff and longestBackoff space the calls to a store that refuses.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 400 * time.Millisecond
+	// beaconInterval is how often the load is told to other daemons.
+	beaconInterval = 100 * time.Millisecond
+	// housekeepingInterval is how often idle connections are checked.
+	housekeepingInterval = time.Second
+	// lagTolerance is how long another daemon may be ahead before its changes
+	// are fetched; the own watch is mostly faster.
+	lagTolerance = 200 * time.Millisecond
+	// peerTimeout bounds a call for changes to another daemon.
+	peerTimeout = 500 * time.Millisecond
+)
+
+// followStore keeps the copy of the store current.
+func (d *Daemon) followStore(ctx context.Context) {
+	backoff := firstBackoff
+	synced, lost := false, false
+	for ctx.Err() == nil {
+		err := d.readStore(ctx, synced)
+		switch {
+		case err == nil:
+			synced = true
+			backoff = firstBackoff
+			if lost {
+				lost = false
+				d.log.Info("store answers again")
+			}
+			continue
+		case errors.Is(err, platform.ErrHistoryGone), errors.Is(err, mirror.ErrGap):
+			d.log.Info("store history gone; listing again", zap.Uint64("revision", uint64(d.mirror.AsOf())))
+			synced = false
+			continue
+		}
+		if !lost {
+			lost = true
+			d.log.Warn("store lost", zap.Error(err), zap.Uint64("revision", uint64(d.mirror.AsOf())))
+		}
+		d.store.Disconnect()
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, longestBackoff)
+	}
+}
+
+// readStore makes one call, or the calls of one listing.
+func (d *Daemon) readStore(ctx context.Context, synced bool) error {
+	if !synced {
+		return d.listStore(ctx)
+	}
+	call, cancel := context.WithTimeout(ctx, watchWait+callMargin)
+	defer cancel()
+	changes, err := d.store.Watch(call, "", d.mirror.AsOf(), watchWait)
+	if err != nil {
+		return err
+	}
+	applied, err := d.mirror.Apply(changes)
+	if err != nil {
+		return err
+	}
+	d.state.confirm()
+	d.state.apply(applied)
+	if len(changes.Events) > 0 {
+		sleep(ctx, batchPause)
+	}
+	return nil
+}
+
+// listStore reads all items. Pages are not a snapshot: what changes between
+// them is seen by the watch from the revision of the first page.
+func (d *Daemon) listStore(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, watchWait+callMargin)
+	defer cancel()
+	var items []mirror.Item
+	var asOf mirror.Revision
+	for after := ""; ; {
+		page, err := d.store.List(call, "", after)
+		if err != nil {
+			return err
+		}
+		if after == "" {
+			asOf = page.AsOf
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	d.state.confirm()
+	d.state.apply(d.mirror.Replace(items, asOf))
+	return nil
+}
+
+// followPeers fetches changes from other daemons that are ahead.
+func (d *Daemon) followPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, lagTolerance/2)
+		address, found := d.members.ahead(d.mirror.AsOf(), lagTolerance)
+		if !found {
+			continue
+		}
+		if err := d.fetch(ctx, address); err != nil {
+			d.members.forget(address)
+			d.log.Info("peer lost", zap.String("peer", address), zap.Error(err))
+		}
+	}
+}
+
+func (d *Daemon) fetch(ctx context.Context, address string) error {
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	changes, age, err := d.peers.Changes(call, address, d.mirror.AsOf(), 0)
+	if err != nil {
+		return err
+	}
+	applied, err := d.mirror.Apply(changes)
+	if err != nil {
+		return err
+	}
+	if len(applied) > 0 {
+		d.log.Info("changes from peer", zap.String("peer", address), zap.Int("changes", len(applied)),
+			zap.Uint64("revision", uint64(changes.AsOf)), zap.Duration("peer_store_age", age))
+	}
+	d.state.apply(applied)
+	return nil
+}
+
+// tick tells the load to other daemons and does the housekeeping.
+func (d *Daemon) tick(ctx context.Context) {
+	next := time.Now().Add(housekeepingInterval)
+	for ctx.Err() == nil {
+		sleep(ctx, beaconInterval)
+		d.gossip.Send(d.members.addresses())
+		d.state.expire()
+		if time.Now().After(next) {
+			next = time.Now().Add(housekeepingInterval)
+			d.hops.Expire()
+			d.backend.Expire()
+			d.requests.flush()
+		}
+	}
+}
+
+// beacon returns what this daemon tells of itself.
+func (d *Daemon) beacon() control.Beacon {
+	load := d.local.Load()
+	load.Leaving = load.Leaving || d.stopping.Load()
+	return control.Beacon{
+		Address: d.settings.ControlAddress, Domain: d.settings.Domain,
+		Revision: d.mirror.AsOf(), StoreAgeMS: d.storeAge().Milliseconds(), Load: load,
+		Boot: uint64(d.started.UnixNano()), Sequence: d.sequence.Add(1),
+	}
+}
+
+// heard takes in the beacon of another daemon.
+func (d *Daemon) heard(beacon control.Beacon) {
+	if beacon.Address == d.settings.ControlAddress || !d.members.hear(beacon) {
+		return
+	}
+	if beacon.Load.Server != "" {
+		d.chooser.Report(beacon.Load)
+	}
+}
+
+func (d *Daemon) gossipFailed(err error) {
+	d.log.Debug("beacon failed", zap.Error(err))
+}
+
+// ahead returns a daemon whose copy was newer than the given revision some
+// time ago.
+func (m *members) ahead(asOf mirror.Revision, tolerance time.Duration) (string, bool) {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.behindSince == 0 || asOf >= m.newest {
+		m.newest, m.behindSince = 0, 0
+		for _, beacon := range m.heard {
+			if beacon.Revision > asOf && beacon.Revision > m.newest {
+				m.newest, m.behindSince, m.source = beacon.Revision, now, beacon.Address
+			}
+		}
+	}
+	if m.behindSince == 0 || now.Sub(m.behindSince) < tolerance && asOf > 0 {
+		return "", false
+	}
+	m.behindSince = 0
+	return m.source, true
+}
+
+// forget drops what was heard of a daemon.
+func (m *members) forget(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.heard, address)
+}
+
+// sleep waits for the span or the end of the context.
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
--- /dev/null
+++ b/sidecar/requestlog.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/ingress"
+	"marjoramsaddle/io/telemetry"
+)
+
+const (
+	// servedLines and failedLines bound the lines a second on requests that
+	// were and were not served. A daemon has some hundred requests a second in
+	// the rush; failures are what operators look for.
+	servedLines = 20
+	failedLines = 200
+	// burstSeconds is how many seconds' worth of lines may come at once.
+	burstSeconds = 2
+)
+
+// requestLog counts requests and writes a line for each, within bounds.
+type requestLog struct {
+	log        *zap.Logger
+	metrics    *telemetry.Metrics
+	served     *rate.Limiter
+	failed     *rate.Limiter
+	suppressed atomic.Int64
+}
+
+func newRequestLog(log *zap.Logger, metrics *telemetry.Metrics) *requestLog {
+	return &requestLog{
+		log: log, metrics: metrics,
+		served: rate.NewLimiter(servedLines, burstSeconds*servedLines),
+		failed: rate.NewLimiter(failedLines, burstSeconds*failedLines),
+	}
+}
+
+// Done counts and logs the end of a request.
+func (l *requestLog) Done(record *ingress.Record) {
+	outcome, limiter := refusal.Ran, l.served
+	if record.Refused != nil {
+		outcome, limiter = record.Refused.Outcome, l.failed
+		l.metrics.Refusal(record.Refused.Reason)
+	}
+	l.metrics.Call(outcome, record.Took)
+	if !limiter.Allow() {
+		l.suppressed.Add(1)
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request_id", record.RequestID), zap.String("route", record.Route),
+		zap.String("service", string(record.Service)), zap.Uint64("version", uint64(record.Version)),
+		zap.String("server", string(record.Server)), zap.Int("attempts", record.Attempts),
+		zap.Int("arrivals", record.Arrivals), zap.Int("status", record.Status),
+		zap.Duration("took", record.Took), zap.Duration("left", record.Left), zap.Duration("expected", record.Expected),
+	}
+	if record.Refused == nil {
+		l.log.Info("answered", fields...)
+		return
+	}
+	fields = append(fields, zap.String("outcome", outcome.String()), zap.String("reason", record.Refused.Reason.String()))
+	if record.Refused.Cause != nil {
+		fields = append(fields, zap.String("cause", record.Refused.Cause.Error()))
+	}
+	l.log.Warn("not answered", fields...)
+}
+
+// Retry counts an offer after a failed one.
+func (l *requestLog) Retry(reason refusal.Reason) { l.metrics.Retry(reason) }
+
+// flush says how many lines were left out since the last time.
+func (l *requestLog) flush() {
+	if count := l.suppressed.Swap(0); count > 0 {
+		l.log.Info("request lines left out", zap.Int64("lines", count))
+	}
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,263 @@
+// Package sidecar puts the daemon of the users' platform together: the copy of
+// the platform's store, the configuration and the backend servers decoded from
+// it, the way of a request, the exchange with other daemons, and the stop.
+//
+// Usage:
+//
+//	d, err := sidecar.New(settings, logger)
+//	if err != nil {
+//		return err
+//	}
+//	return d.Run(ctx) // until ctx ends, then stops gracefully
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/core/placement"
+	"marjoramsaddle/core/retry"
+	"marjoramsaddle/core/route"
+	"marjoramsaddle/io/control"
+	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/ingress"
+	"marjoramsaddle/io/relay"
+	"marjoramsaddle/io/server"
+	"marjoramsaddle/io/telemetry"
+	"marjoramsaddle/platform"
+)
+
+const (
+	// hopDialTimeout bounds a connection to another daemon. Failure domains are
+	// a few milliseconds apart; a host that is cut off answers nothing.
+	hopDialTimeout = 250 * time.Millisecond
+	// backendDialTimeout bounds a connection to the backend server of this host.
+	backendDialTimeout = 500 * time.Millisecond
+	// hopIdle is how long unused connections to other daemons are kept. It lies
+	// below listenerIdle, so that the sender closes first.
+	hopIdle      = 20 * time.Second
+	listenerIdle = 60 * time.Second
+	// backendIdle is used when the backend server announces no idle time.
+	backendIdle = 8 * time.Second
+	// maxAnswer bounds an answer in memory; downloads have up to 600 KB.
+	maxAnswer = 16 << 20
+	// headerTimeout bounds the time in which a header arrives.
+	headerTimeout = 10 * time.Second
+	// maxHeader bounds a header, above what configurations allow.
+	maxHeader = 64 << 10
+	// retryShare is the share of the platform's retry ratio that is used. A
+	// repeat also repeats the calls that its run makes, which count at the
+	// service that is called.
+	retryShare = 0.5
+	percent    = 100
+)
+
+// Daemon is the process beside one backend server.
+type Daemon struct {
+	settings platform.Settings
+	log      *zap.Logger
+	metrics  *telemetry.Metrics
+	requests *requestLog
+	started  time.Time
+
+	mirror  *mirror.Mirror
+	store   *platform.Store
+	chooser *placement.Chooser
+	local   *server.Server
+	hops    *http1.Pool
+	backend *http1.Pool
+	relay   *relay.Client
+	peers   *control.Client
+	gossip  *control.Gossip
+
+	state   *state
+	members *members
+	table   atomic.Pointer[route.Table]
+	// confirmed is when the copy of the store was last known to be current.
+	confirmed atomic.Int64
+	stopping  atomic.Bool
+	sequence  atomic.Uint64
+	active    atomic.Int64
+	lastWork  atomic.Int64
+
+	budgetsMu sync.Mutex
+	budgets   map[id.Service]*retry.Budget
+}
+
+// New returns a daemon that has opened nothing yet.
+func New(settings platform.Settings, log *zap.Logger) (*Daemon, error) {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		settings: settings,
+		log:      log.Named("sidecar"),
+		metrics:  metrics,
+		started:  time.Now(),
+		mirror:   mirror.New(),
+		store:    platform.NewStore(settings.StoreAddress),
+		chooser:  placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
+		budgets:  map[id.Service]*retry.Budget{},
+	}
+	d.requests = newRequestLog(log.Named("request"), metrics)
+	headers := platform.Headers{}
+	d.hops = http1.NewPool(http1.PoolOptions{
+		DialTimeout: hopDialTimeout, IdleLimit: hopIdle, MaxBody: maxAnswer,
+	})
+	d.backend = http1.NewPool(http1.PoolOptions{
+		DialTimeout: backendDialTimeout, IdleLimit: backendIdle, MaxBody: maxAnswer,
+		Matches: func(request, answer http.Header) bool {
+			echoed := headers.RequestID(answer)
+			return echoed == "" || echoed == headers.RequestID(request)
+		},
+	})
+	_, hopPort, err := net.SplitHostPort(settings.HopAddress)
+	if err != nil {
+		return nil, fmt.Errorf("hop address: %w", err)
+	}
+	d.local = server.New(server.Options{Address: settings.BackendAddress, Pool: d.backend, Dialect: headers, Now: d.now})
+	d.relay = relay.NewClient(d.hops, hopPort, d.report)
+	d.peers = control.NewClient(d.hops)
+	d.members = newMembers(settings, d.now)
+	d.state = newState(d)
+	return d, nil
+}
+
+// now returns the current time on the steady clock, which the platform does
+// not set back.
+func (d *Daemon) now() id.Instant {
+	return id.InstantOf(d.started).Add(time.Since(d.started))
+}
+
+func (d *Daemon) report(report placement.Report) {
+	report.At = d.now()
+	d.chooser.Report(report)
+}
+
+// budget returns the retry budget of a service.
+func (d *Daemon) budget(service id.Service) *retry.Budget {
+	d.budgetsMu.Lock()
+	defer d.budgetsMu.Unlock()
+	budget := d.budgets[service]
+	if budget == nil {
+		share := int(d.settings.RetryRatio * retryShare * percent)
+		budget = retry.NewBudget(share, retry.WithMinimum(0))
+		d.budgets[service] = budget
+	}
+	return budget
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Info("starting", zap.String("host", string(d.settings.Host)), zap.String("domain", string(d.settings.Domain)),
+		zap.String("service", string(d.settings.Service)), zap.Strings("seeds", d.settings.Seeds))
+	background, end := context.WithCancel(context.Background())
+	defer end()
+	servers, err := d.listen(background)
+	if err != nil {
+		return err
+	}
+	go d.local.Expire(background)
+	go d.followStore(background)
+	go d.followPeers(background)
+	go d.tick(background)
+	<-ctx.Done()
+	d.stop(servers)
+	return nil
+}
+
+// servers are the listeners of the daemon.
+type servers struct {
+	callers, hops, control, readiness *http.Server
+	beacons                           net.PacketConn
+}
+
+func (d *Daemon) listen(ctx context.Context) (*servers, error) {
+	handler := ingress.New(ingress.Options{
+		Service: d.settings.Service, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
+		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, Now: d.now,
+	})
+	beacons, err := net.ListenPacket("udp4", d.settings.ControlAddress)
+	if err != nil {
+		return nil, fmt.Errorf("control address: %w", err)
+	}
+	d.gossip = control.NewGossip(beacons, control.GossipOptions{
+		Self: d.beacon, Heard: d.heard, Now: d.now, Failed: d.gossipFailed,
+	})
+	go d.gossip.Receive()
+	s := &servers{
+		callers:   d.newServer(d.counted(handler)),
+		hops:      d.newServer(d.counted(relay.NewHandler(d.local))),
+		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
+		readiness: d.newServer(http.HandlerFunc(d.ready)),
+		beacons:   beacons,
+	}
+	for _, one := range []struct {
+		server  *http.Server
+		address string
+	}{
+		{s.readiness, d.settings.ReadinessAddress},
+		{s.control, d.settings.ControlAddress},
+		{s.hops, d.settings.HopAddress},
+		{s.callers, d.settings.CallerAddress},
+	} {
+		if err := d.serve(ctx, one.server, one.address); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ConnContext: http1.ConnContext,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeaderBytes: maxHeader,
+		ErrorLog: zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+}
+
+func (d *Daemon) serve(ctx context.Context, server *http.Server, address string) error {
+	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	go func() {
+		if err := server.Serve(http1.Listener{Listener: listener}); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error("listener ended", zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// counted keeps the number of requests under way, for the stop.
+func (d *Daemon) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.active.Add(1)
+		defer func() {
+			d.lastWork.Store(int64(d.now()))
+			d.active.Add(-1)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// ready answers the platform's readiness checks.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.table.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/sidecar/state.go
@@ -0,0 +1,140 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/core/route"
+	"marjoramsaddle/platform"
+)
+
+const (
+	// outageLength is the time without an answer of the store after which
+	// entries may have lapsed because their owners could not renew them either.
+	outageLength = 1500 * time.Millisecond
+	// lapsePeriod is how long after the return of the store a vanished entry
+	// counts as lapsed.
+	lapsePeriod = 2 * time.Second
+)
+
+// state turns changes of the store into the configuration in force and the
+// backend servers to use.
+type state struct {
+	d       *Daemon
+	decoder platform.Decoder
+
+	mu      sync.Mutex
+	servers *backend.Table
+	// suspectUntil is when vanished entries no longer count as lapsed.
+	suspectUntil id.Instant
+}
+
+func newState(d *Daemon) *state { return &state{d: d, servers: backend.NewTable()} }
+
+// apply takes over changes in the order of their revisions.
+func (s *state) apply(items []mirror.Item) {
+	if len(items) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.d.now()
+	for i := range items {
+		s.applyOne(&items[i], now)
+	}
+	s.publish()
+}
+
+func (s *state) applyOne(item *mirror.Item, now id.Instant) {
+	if s.decoder.IsConfiguration(item.Key) {
+		s.applyConfiguration(item)
+		return
+	}
+	name, isServer := s.decoder.ServerID(item.Key)
+	if !isServer {
+		return
+	}
+	if item.Deleted {
+		lapsed := now.Before(s.suspectUntil)
+		s.servers.Remove(name, now, lapsed)
+		s.d.log.Info("backend server vanished", zap.String("server", string(name)),
+			zap.Uint64("revision", uint64(item.Revision)), zap.Bool("maybe_lapsed", lapsed))
+		return
+	}
+	listed, err := s.decoder.Server(name, item.Value)
+	if err != nil {
+		s.d.log.Warn("entry refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
+		return
+	}
+	if s.servers.Put(listed, now) {
+		s.d.log.Info("backend server listed", zap.String("server", string(name)), zap.String("state", listed.State.String()),
+			zap.String("address", listed.Address), zap.String("service", string(listed.Service)), zap.Int("slots", listed.Slots),
+			zap.Duration("cold_left", listed.ColdLeft), zap.Uint64("revision", uint64(item.Revision)))
+	}
+}
+
+func (s *state) applyConfiguration(item *mirror.Item) {
+	if item.Deleted {
+		s.d.log.Warn("configuration deleted; the former one stays", zap.Uint64("revision", uint64(item.Revision)))
+		return
+	}
+	decoded, err := s.decoder.Configuration(item.Value)
+	if err != nil {
+		s.d.log.Warn("configuration refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
+		return
+	}
+	former := s.d.table.Load()
+	if former != nil && decoded.Version <= former.Version {
+		return
+	}
+	table, err := route.NewTable(decoded)
+	if err != nil {
+		s.d.log.Warn("configuration refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
+		return
+	}
+	s.d.table.Store(table)
+	s.d.local.SetConnections(table.Services[s.d.settings.Service].Connections)
+	s.d.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)),
+		zap.Int("routes", table.Routes()), zap.Uint64("revision", uint64(item.Revision)))
+}
+
+// publish hands the servers to those who use them.
+func (s *state) publish() {
+	all := s.servers.All()
+	s.d.chooser.SetServers(all)
+	s.d.members.setServers(all)
+	s.d.local.SetCurrent(s.servers.At(s.d.settings.BackendAddress))
+}
+
+// expire gives up the lapsed entries that have not returned.
+func (s *state) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.servers.Expire(s.d.now()) {
+		s.d.log.Info("lapsed backend servers given up")
+		s.publish()
+	}
+}
+
+// confirm notes that the copy of the store was current just now.
+func (s *state) confirm() {
+	now := s.d.now()
+	before := id.Instant(s.d.confirmed.Swap(int64(now)))
+	if before == 0 || now.Sub(before) < outageLength {
+		return
+	}
+	s.mu.Lock()
+	s.suspectUntil = now.Add(lapsePeriod)
+	s.mu.Unlock()
+	s.d.log.Info("store regained", zap.Duration("away", now.Sub(before)))
+}
+
+// storeAge returns how long ago the copy was known to be current.
+func (d *Daemon) storeAge() time.Duration {
+	return d.now().Sub(id.Instant(d.confirmed.Load()))
+}
--- /dev/null
+++ b/sidecar/stop.go
@@ -0,0 +1,57 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"marjoramsaddle/core/id"
+)
+
+const (
+	// readinessNotice is how long clients may still send after readiness has
+	// failed: the platform asks once a second and acts after two misses.
+	readinessNotice = 2500 * time.Millisecond
+	// quietPeriod without a request shows that senders have noticed.
+	quietPeriod = 300 * time.Millisecond
+	// stopMargin is kept before the platform kills the process.
+	stopMargin = 600 * time.Millisecond
+	// stopPoll is how often the stop looks for the end of the work.
+	stopPoll = 20 * time.Millisecond
+)
+
+// stop fails readiness, tells the other daemons, serves until nobody sends any
+// more, and ends the requests in progress.
+func (d *Daemon) stop(s *servers) {
+	began := d.now()
+	deadline := began.Add(d.settings.StopGrace - stopMargin)
+	d.stopping.Store(true)
+	d.local.SetLeaving()
+	d.log.Info("stopping", zap.Int64("requests", d.active.Load()))
+	for d.now().Before(deadline) && !d.quiet(began) {
+		time.Sleep(stopPoll)
+	}
+	remaining := max(stopPoll, deadline.Sub(d.now()))
+	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	defer cancel()
+	var ending sync.WaitGroup
+	for _, server := range []*http.Server{s.callers, s.hops} {
+		ending.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				d.log.Warn("requests in progress at the end of the grace", zap.Error(err))
+			}
+		})
+	}
+	ending.Wait()
+	d.log.Info("stopped", zap.Int64("requests", d.active.Load()), zap.Duration("took", d.now().Sub(began)))
+}
+
+// quiet reports whether senders have noticed the stop and all work is done.
+func (d *Daemon) quiet(began id.Instant) bool {
+	now := d.now()
+	return now.Sub(began) >= readinessNotice && d.active.Load() == 0 &&
+		now.Sub(id.Instant(d.lastWork.Load())) >= quietPeriod
+}
