--- a/io/control/gossip.go
+++ b/io/control/gossip.go
@@ -14,36 +14,13 @@
 package control
 
 import (
-	"encoding/json"
 	"errors"
 	"net"
 	"time"
 
 	"marjoramsaddle/core/id"
-	"marjoramsaddle/core/mirror"
-	"marjoramsaddle/core/placement"
 )
 
-// maxBeacon is the size of the largest beacon accepted.
-const maxBeacon = 1200
-
-// Beacon is what a daemon tells of itself.
-type Beacon struct {
-	// Address is the control address of the sender.
-	Address  string          `json:"address"`
-	Domain   id.Domain       `json:"domain"`
-	Revision mirror.Revision `json:"revision"`
-	// StoreAgeMS is the time since the sender's copy was known to be current.
-	StoreAgeMS int64            `json:"store_age_ms"`
-	Load       placement.Report `json:"load"`
-	// Boot tells two runs of a daemon apart.
-	Boot uint64 `json:"boot"`
-	// Sequence orders the beacons of one run.
-	Sequence uint64 `json:"sequence"`
-	// Received is when the beacon arrived.
-	Received id.Instant `json:"-"`
-}
-
 // GossipOptions of a Gossip.
 type GossipOptions struct {
 	Self func() Beacon
@@ -65,11 +42,15 @@
 	return &Gossip{conn: conn, options: options}
 }
 
+// receivePause keeps a socket that fails again and again from using up the
+// processor.
+const receivePause = 10 * time.Millisecond
+
 // Receive takes in beacons until the connection is closed.
 func (g *Gossip) Receive() {
 	buffer := make([]byte, maxBeacon)
 	for {
-		n, _, err := g.conn.ReadFrom(buffer)
+		n, from, err := g.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -78,28 +59,21 @@
 			time.Sleep(receivePause)
 			continue
 		}
-		var beacon Beacon
-		if err := json.Unmarshal(buffer[:n], &beacon); err != nil {
+		beacon, err := decodeBeacon(buffer[:n])
+		if err != nil {
 			g.options.Failed(err)
 			continue
 		}
+		beacon.Address = from.String()
 		beacon.Received = g.options.Now()
 		beacon.Load.At = beacon.Received
 		g.options.Heard(beacon)
 	}
 }
 
-// receivePause keeps a socket that fails again and again from using up the
-// processor.
-const receivePause = 10 * time.Millisecond
-
 // Send sends one beacon to each of the addresses.
 func (g *Gossip) Send(addresses []string) {
-	data, err := json.Marshal(g.options.Self())
-	if err != nil {
-		g.options.Failed(err)
-		return
-	}
+	data := encodeBeacon(g.options.Self())
 	for _, address := range addresses {
 		resolved, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
@@ -30,9 +31,15 @@
 	beaconInterval = 100 * time.Millisecond
 	// housekeepingInterval is how often idle connections are checked.
 	housekeepingInterval = time.Second
-	// lagTolerance is how long another daemon may be ahead before its changes
-	// are fetched; the own watch is mostly faster.
-	lagTolerance = 200 * time.Millisecond
+	// fetchInterval is how often a daemon looks whether another one is ahead.
+	fetchInterval = 20 * time.Millisecond
+	// freshAge is the age of a daemon's news of the store up to which others
+	// leave the reading to it: a watch that hears nothing, and the way there.
+	freshAge = watchWait + 300*time.Millisecond
+	// beaconLife is how long a beacon counts; beacons may be lost.
+	beaconLife = 5 * beaconInterval
+	// readCheck is how often a daemon that does not read looks whether it has to.
+	readCheck = 50 * time.Millisecond
 	// peerTimeout bounds a call for changes to another daemon.
 	peerTimeout = 500 * time.Millisecond
 )
@@ -40,8 +47,17 @@
 // followStore keeps the copy of the store current.
 func (d *Daemon) followStore(ctx context.Context) {
 	backoff := firstBackoff
-	synced, lost := false, false
+	synced, lost := d.mirror.AsOf() > 0, false
+	reading := true
 	for ctx.Err() == nil {
+		if needed := d.mirror.AsOf() == 0 || d.members.reads(d.settings.Domain); needed != reading {
+			reading = needed
+			d.log.Info("store reader", zap.Bool("reading", reading), zap.Uint64("revision", uint64(d.mirror.AsOf())))
+		}
+		if !reading {
+			sleep(ctx, readCheck)
+			continue
+		}
 		err := d.readStore(ctx, synced)
 		switch {
 		case err == nil:
@@ -82,9 +98,10 @@
 	if err != nil {
 		return err
 	}
-	d.state.confirm()
+	d.state.confirmRead()
 	d.state.apply(applied)
-	if len(changes.Events) > 0 {
+	if len(applied) > 0 {
+		d.gossip.Send(d.members.addresses())
 		sleep(ctx, batchPause)
 	}
 	return nil
@@ -111,7 +128,7 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	d.state.confirm()
+	d.state.confirmRead()
 	d.state.apply(d.mirror.Replace(items, asOf))
 	return nil
 }
@@ -119,8 +136,8 @@
 // followPeers fetches changes from other daemons that are ahead.
 func (d *Daemon) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, lagTolerance/2)
-		address, found := d.members.ahead(d.mirror.AsOf(), lagTolerance)
+		sleep(ctx, fetchInterval)
+		address, found := d.members.ahead(d.mirror.AsOf())
 		if !found {
 			continue
 		}
@@ -142,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	d.state.confirm(d.now().Add(-age))
 	if len(applied) > 0 {
 		d.log.Info("changes from peer", zap.String("peer", address), zap.Int("changes", len(applied)),
 			zap.Uint64("revision", uint64(changes.AsOf)), zap.Duration("peer_store_age", age))
@@ -171,8 +189,7 @@
 	load := d.local.Load()
 	load.Leaving = load.Leaving || d.stopping.Load()
 	return control.Beacon{
-		Address: d.settings.ControlAddress, Domain: d.settings.Domain,
-		Revision: d.mirror.AsOf(), StoreAgeMS: d.storeAge().Milliseconds(), Load: load,
+		Domain: d.settings.Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Load: load,
 		Boot: uint64(d.started.UnixNano()), Sequence: d.sequence.Add(1),
 	}
 }
@@ -182,6 +199,10 @@
 	if beacon.Address == d.settings.ControlAddress || !d.members.hear(beacon) {
 		return
 	}
+	if beacon.Revision <= d.mirror.AsOf() {
+		// What was current there then is known here as well.
+		d.state.confirm(d.now().Add(-beacon.StoreAge))
+	}
 	if beacon.Load.Server != "" {
 		d.chooser.Report(beacon.Load)
 	}
@@ -191,25 +212,34 @@
 	d.log.Debug("beacon failed", zap.Error(err))
 }
 
-// ahead returns a daemon whose copy was newer than the given revision some
-// time ago.
-func (m *members) ahead(asOf mirror.Revision, tolerance time.Duration) (string, bool) {
-	now := m.now()
+// ahead returns the daemon with the newest copy, if it is newer than the given
+// revision.
+func (m *members) ahead(asOf mirror.Revision) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.behindSince == 0 || asOf >= m.newest {
-		m.newest, m.behindSince = 0, 0
-		for _, beacon := range m.heard {
-			if beacon.Revision > asOf && beacon.Revision > m.newest {
-				m.newest, m.behindSince, m.source = beacon.Revision, now, beacon.Address
-			}
+	newest, source := asOf, ""
+	for _, beacon := range m.heard {
+		if beacon.Revision > newest {
+			newest, source = beacon.Revision, beacon.Address
 		}
 	}
-	if m.behindSince == 0 || now.Sub(m.behindSince) < tolerance && asOf > 0 {
-		return "", false
+	return source, source != ""
+}
+
+// reads reports whether this daemon has to read the store itself.
+func (m *members) reads(domain id.Domain) bool {
+	now := m.now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	others := make([]mirror.Daemon, 0, len(m.heard))
+	for _, beacon := range m.heard {
+		age := now.Sub(beacon.Received)
+		others = append(others, mirror.Daemon{
+			Address: beacon.Address, Domain: beacon.Domain,
+			Fresh: age < beaconLife && beacon.ReadAge+age < freshAge && !beacon.Load.Leaving,
+		})
 	}
-	m.behindSince = 0
-	return m.source, true
+	return mirror.Reads(mirror.Daemon{Address: m.self, Domain: domain}, others)
 }
 
 // forget drops what was heard of a daemon.
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -8,7 +8,6 @@
 
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
-	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
 )
@@ -28,10 +27,6 @@
 	mu     sync.Mutex
 	listed []string
 	heard  map[string]control.Beacon
-	// newest is the highest revision heard of, at source, since behindSince.
-	newest      mirror.Revision
-	source      string
-	behindSince id.Instant
 }
 
 func newMembers(settings platform.Settings, now func() id.Instant) *members {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -86,6 +86,8 @@
 	table   atomic.Pointer[route.Table]
 	// confirmed is when the copy of the store was last known to be current.
 	confirmed atomic.Int64
+	// lastRead is when this daemon itself last heard from the store.
+	lastRead atomic.Int64
 	stopping  atomic.Bool
 	sequence  atomic.Uint64
 	active    atomic.Int64
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -121,20 +121,35 @@
 	}
 }
 
-// confirm notes that the copy of the store was current just now.
-func (s *state) confirm() {
+// confirmRead notes that this daemon has just heard from the store.
+func (s *state) confirmRead() {
 	now := s.d.now()
-	before := id.Instant(s.d.confirmed.Swap(int64(now)))
-	if before == 0 || now.Sub(before) < outageLength {
+	s.d.lastRead.Store(int64(now))
+	s.confirm(now)
+}
+
+// confirm notes that the copy of the store was current at the given instant.
+func (s *state) confirm(at id.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := id.Instant(s.d.confirmed.Load())
+	if at <= before {
 		return
 	}
-	s.mu.Lock()
-	s.suspectUntil = now.Add(lapsePeriod)
-	s.mu.Unlock()
-	s.d.log.Info("store regained", zap.Duration("away", now.Sub(before)))
+	s.d.confirmed.Store(int64(at))
+	if before == 0 || at.Sub(before) < outageLength {
+		return
+	}
+	s.suspectUntil = s.d.now().Add(lapsePeriod)
+	s.d.log.Info("store regained", zap.Duration("away", at.Sub(before)))
 }
 
 // storeAge returns how long ago the copy was known to be current.
 func (d *Daemon) storeAge() time.Duration {
 	return d.now().Sub(id.Instant(d.confirmed.Load()))
 }
+
+// readAge returns how long ago this daemon itself read the store.
+func (d *Daemon) readAge() time.Duration {
+	return d.now().Sub(id.Instant(d.lastRead.Load()))
+}
