--- a/cmd/marjoramsaddle-sidecar/main.go
+++ b/cmd/marjoramsaddle-sidecar/main.go
@@ -103,7 +103,13 @@
 	if err != nil {
 		return errors.Join(errRun, err)
 	}
-	if err := d.Run(ctx); err != nil {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	source := sidecar.Source{
+		File: file, Signals: hangups,
+		Load: func() (platform.Settings, error) { return platform.LoadSettings(file) },
+	}
+	if err := d.Run(ctx, source); err != nil {
 		logger.Error("ended", zap.Error(err))
 		return errors.Join(errRun, err)
 	}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -30,10 +30,10 @@
 
 // Item is one key of the store with its value, or the deletion of a key.
 type Item struct {
-	Key      string   `json:"key"`
-	Value    []byte   `json:"value,omitempty"`
-	Revision Revision `json:"revision"`
-	Deleted  bool     `json:"deleted,omitempty"`
+	Key      string
+	Value    []byte
+	Revision Revision
+	Deleted  bool
 }
 
 // Page is a part of a listing. Pages of one listing are not a snapshot.
@@ -45,11 +45,11 @@
 
 // Changes lead from the revision After to the revision AsOf.
 type Changes struct {
-	After  Revision `json:"after"`
-	Events []Item   `json:"events,omitempty"`
-	AsOf   Revision `json:"as_of"`
+	After  Revision
+	Events []Item
+	AsOf   Revision
 	// Whole is set when Events are all items of the store instead.
-	Whole bool `json:"whole,omitempty"`
+	Whole bool
 }
 
 // ErrGap says that changes begin after the revision of the copy.
@@ -170,5 +170,20 @@
 	first, _ := slices.BinarySearchFunc(m.history, after+1, func(item Item, revision Revision) int {
 		return cmp.Compare(item.Revision, revision)
 	})
-	return Changes{After: after, Events: slices.Clone(m.history[first:]), AsOf: m.asOf}, m.advanced
+	return Changes{After: after, Events: newest(m.history[first:]), AsOf: m.asOf}, m.advanced
+}
+
+// newest keeps the last event of each key.
+func newest(events []Item) []Item {
+	last := make(map[string]Revision, len(events))
+	for _, event := range events {
+		last[event.Key] = event.Revision
+	}
+	kept := make([]Item, 0, len(last))
+	for _, event := range events {
+		if last[event.Key] == event.Revision {
+			kept = append(kept, event)
+		}
+	}
+	return kept
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -76,15 +76,15 @@
 
 // Report is what the daemon beside a backend server tells of it.
 type Report struct {
-	Server  backend.ID    `json:"server"`
-	Running int           `json:"running"`
-	Queued  int           `json:"queued"`
-	Slots   int           `json:"slots"`
-	Service time.Duration `json:"service_ns"`
+	Server  backend.ID   
+	Running int          
+	Queued  int          
+	Slots   int          
+	Service time.Duration
 	// Leaving is set when neither daemon nor backend server takes new work.
-	Leaving bool `json:"leaving,omitempty"`
+	Leaving bool
 	// At is when the report arrived.
-	At id.Instant `json:"-"`
+	At id.Instant
 }
 
 // Request is what a choice depends on.
--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -1,13 +1,17 @@
 package control
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
+	"encoding/gob"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/klauspost/compress/zstd"
+
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/http1"
 )
@@ -52,7 +56,41 @@
 	changes := h.await(r.Context(), mirror.Revision(after), min(longestWait, time.Duration(wait)*time.Millisecond))
 	w.Header().Set(ageHeader, strconv.FormatInt(h.age().Milliseconds(), 10))
 	// A failed write shows at the reader, which calls again.
-	_ = json.NewEncoder(w).Encode(changes)
+	_ = encodeChanges(w, changes)
+}
+
+// maxChangesMemory bounds what the decoder of changes may use: all items of the
+// store, of which a configuration of a megabyte is the largest.
+const maxChangesMemory = 32 << 20
+
+// encodeChanges writes changes compressed: a configuration repeats its field
+// names and services in each route, and has to reach every daemon.
+func encodeChanges(out io.Writer, changes mirror.Changes) error {
+	compressor, err := zstd.NewWriter(out, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(changesWindow))
+	if err != nil {
+		return err
+	}
+	if err := gob.NewEncoder(compressor).Encode(changes); err != nil {
+		return err
+	}
+	return compressor.Close()
+}
+
+// changesWindow bounds the memory of the compressor; the repeated parts of a
+// configuration lie within some hundred bytes of each other.
+const changesWindow = 64 << 10
+
+func decodeChanges(in io.Reader) (mirror.Changes, error) {
+	decompressor, err := zstd.NewReader(in, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxChangesMemory))
+	if err != nil {
+		return mirror.Changes{}, err
+	}
+	defer decompressor.Close()
+	var changes mirror.Changes
+	if err := gob.NewDecoder(decompressor).Decode(&changes); err != nil {
+		return mirror.Changes{}, err
+	}
+	return changes, nil
 }
 
 func (h *Handler) await(ctx context.Context, after mirror.Revision, wait time.Duration) mirror.Changes {
@@ -94,8 +132,8 @@
 	if err != nil {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s: bad age: %w", address, err)
 	}
-	var changes mirror.Changes
-	if err := json.Unmarshal(answer.Body, &changes); err != nil {
+	changes, err := decodeChanges(bytes.NewReader(answer.Body))
+	if err != nil {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
 	}
 	return changes, time.Duration(age) * time.Millisecond, nil
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -62,7 +62,8 @@
 
 // Options of a Handler.
 type Options struct {
-	Service id.Service
+	// Service returns the service of the backend server on this host.
+	Service func() id.Service
 	Dialect Dialect
 	Chooser Chooser
 	Sender  Sender
@@ -153,7 +154,7 @@
 		}
 		return nil, refused
 	}
-	h.options.Dialect.SetCaller(request.Header, h.options.Service)
+	h.options.Dialect.SetCaller(request.Header, h.options.Service())
 	j.request = request
 	ctx, cancel := context.WithTimeout(r.Context(), j.deadline.Sub(h.options.Now())+answerGrace)
 	defer cancel()
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -29,15 +29,21 @@
 	longestBackoff = 400 * time.Millisecond
 	// beaconInterval is how often the load is told to other daemons.
 	beaconInterval = 100 * time.Millisecond
+	// farBeacons is the number of beacons within the failure domain for one that
+	// also leaves it.
+	farBeacons = 3
 	// housekeepingInterval is how often idle connections are checked.
 	housekeepingInterval = time.Second
 	// fetchInterval is how often a daemon looks whether another one is ahead.
 	fetchInterval = 20 * time.Millisecond
+	// nearGrace is how long changes are awaited from the own failure domain
+	// before they are fetched from another one.
+	nearGrace = 150 * time.Millisecond
 	// freshAge is the age of a daemon's news of the store up to which others
 	// leave the reading to it: a watch that hears nothing, and the way there.
 	freshAge = watchWait + 300*time.Millisecond
 	// beaconLife is how long a beacon counts; beacons may be lost.
-	beaconLife = 5 * beaconInterval
+	beaconLife = 2 * farBeacons * beaconInterval
 	// readCheck is how often a daemon that does not read looks whether it has to.
 	readCheck = 50 * time.Millisecond
 	// peerTimeout bounds a call for changes to another daemon.
@@ -50,7 +56,7 @@
 	synced, lost := d.mirror.AsOf() > 0, false
 	reading := true
 	for ctx.Err() == nil {
-		if needed := d.mirror.AsOf() == 0 || d.members.reads(d.settings.Domain); needed != reading {
+		if needed := d.mirror.AsOf() == 0 || d.members.reads(d.settings.Load().Domain); needed != reading {
 			reading = needed
 			d.log.Info("store reader", zap.Bool("reading", reading), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 		}
@@ -137,7 +143,7 @@
 func (d *Daemon) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, fetchInterval)
-		address, found := d.members.ahead(d.mirror.AsOf())
+		address, found := d.members.ahead(d.mirror.AsOf(), d.settings.Load().Domain)
 		if !found {
 			continue
 		}
@@ -165,15 +171,22 @@
 			zap.Uint64("revision", uint64(changes.AsOf)), zap.Duration("peer_store_age", age))
 	}
 	d.state.apply(applied)
+	if len(applied) > 0 {
+		d.gossip.Send(d.members.near(d.settings.Load().Domain))
+	}
 	return nil
 }
 
 // tick tells the load to other daemons and does the housekeeping.
 func (d *Daemon) tick(ctx context.Context) {
 	next := time.Now().Add(housekeepingInterval)
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		sleep(ctx, beaconInterval)
-		d.gossip.Send(d.members.addresses())
+		if round%farBeacons == 0 {
+			d.gossip.Send(d.members.addresses())
+		} else {
+			d.gossip.Send(d.members.near(d.settings.Load().Domain))
+		}
 		d.state.expire()
 		if time.Now().After(next) {
 			next = time.Now().Add(housekeepingInterval)
@@ -189,14 +202,14 @@
 	load := d.local.Load()
 	load.Leaving = load.Leaving || d.stopping.Load()
 	return control.Beacon{
-		Domain: d.settings.Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Load: load,
+		Domain: d.settings.Load().Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Load: load,
 		Boot: uint64(d.started.UnixNano()), Sequence: d.sequence.Add(1),
 	}
 }
 
 // heard takes in the beacon of another daemon.
 func (d *Daemon) heard(beacon control.Beacon) {
-	if beacon.Address == d.settings.ControlAddress || !d.members.hear(beacon) {
+	if beacon.Address == d.settings.Load().ControlAddress || !d.members.hear(beacon) {
 		return
 	}
 	if beacon.Revision <= d.mirror.AsOf() {
@@ -212,18 +225,41 @@
 	d.log.Debug("beacon failed", zap.Error(err))
 }
 
-// ahead returns the daemon with the newest copy, if it is newer than the given
-// revision.
-func (m *members) ahead(asOf mirror.Revision) (string, bool) {
+// ahead returns a daemon with a newer copy than the given revision. A daemon of
+// another failure domain is asked only by the first daemon of this one, or when
+// nobody here has had the changes for a while: the links between failure
+// domains are the scarce ones.
+func (m *members) ahead(asOf mirror.Revision, domain id.Domain) (string, bool) {
+	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	newest, source := asOf, ""
+	near, far := "", ""
+	nearest, farthest := asOf, asOf
+	first := true
 	for _, beacon := range m.heard {
-		if beacon.Revision > newest {
-			newest, source = beacon.Revision, beacon.Address
+		same := beacon.Domain == domain
+		if same && now.Sub(beacon.Received) < beaconLife && beacon.Address < m.self {
+			first = false
 		}
+		switch {
+		case same && beacon.Revision > nearest:
+			nearest, near = beacon.Revision, beacon.Address
+		case !same && beacon.Revision > farthest:
+			farthest, far = beacon.Revision, beacon.Address
+		}
+	}
+	if near != "" {
+		m.behindSince = 0
+		return near, true
+	}
+	if far == "" {
+		m.behindSince = 0
+		return "", false
+	}
+	if m.behindSince == 0 {
+		m.behindSince = now
 	}
-	return source, source != ""
+	return far, first || asOf == 0 || now.Sub(m.behindSince) >= nearGrace
 }
 
 // reads reports whether this daemon has to read the store itself.
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	listed []string
 	heard  map[string]control.Beacon
+	// behindSince is when another failure domain was first seen ahead of this one.
+	behindSince id.Instant
 }
 
 func newMembers(settings platform.Settings, now func() id.Instant) *members {
@@ -72,6 +74,20 @@
 	return true
 }
 
+// near returns the control addresses of the daemons heard in the failure
+// domain.
+func (m *members) near(domain id.Domain) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near []string
+	for address, beacon := range m.heard {
+		if beacon.Domain == domain {
+			near = append(near, address)
+		}
+	}
+	return near
+}
+
 // addresses returns the control addresses of all daemons that may be alive.
 func (m *members) addresses() []string {
 	now := m.now()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,7 +8,7 @@
 //	if err != nil {
 //		return err
 //	}
-//	return d.Run(ctx) // until ctx ends, then stops gracefully
+//	return d.Run(ctx, source) // until ctx ends, then stops gracefully
 package sidecar
 
 import (
@@ -65,7 +65,7 @@
 
 // Daemon is the process beside one backend server.
 type Daemon struct {
-	settings platform.Settings
+	settings atomic.Pointer[platform.Settings]
 	log      *zap.Logger
 	metrics  *telemetry.Metrics
 	requests *requestLog
@@ -104,7 +104,6 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: settings,
 		log:      log.Named("sidecar"),
 		metrics:  metrics,
 		started:  time.Now(),
@@ -113,6 +112,7 @@
 		chooser:  placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
 		budgets:  map[id.Service]*retry.Budget{},
 	}
+	d.settings.Store(&settings)
 	d.requests = newRequestLog(log.Named("request"), metrics)
 	headers := platform.Headers{}
 	d.hops = http1.NewPool(http1.PoolOptions{
@@ -154,7 +154,7 @@
 	defer d.budgetsMu.Unlock()
 	budget := d.budgets[service]
 	if budget == nil {
-		share := int(d.settings.RetryRatio * retryShare * percent)
+		share := int(d.settings.Load().RetryRatio * retryShare * percent)
 		budget = retry.NewBudget(share, retry.WithMinimum(0))
 		d.budgets[service] = budget
 	}
@@ -162,9 +162,9 @@
 }
 
 // Run serves until the context ends, then stops gracefully.
-func (d *Daemon) Run(ctx context.Context) error {
-	d.log.Info("starting", zap.String("host", string(d.settings.Host)), zap.String("domain", string(d.settings.Domain)),
-		zap.String("service", string(d.settings.Service)), zap.Strings("seeds", d.settings.Seeds))
+func (d *Daemon) Run(ctx context.Context, source Source) error {
+	d.log.Info("starting", zap.String("host", string(d.settings.Load().Host)), zap.String("domain", string(d.settings.Load().Domain)),
+		zap.String("service", string(d.settings.Load().Service)), zap.Strings("seeds", d.settings.Load().Seeds))
 	background, end := context.WithCancel(context.Background())
 	defer end()
 	servers, err := d.listen(background)
@@ -175,6 +175,7 @@
 	go d.followStore(background)
 	go d.followPeers(background)
 	go d.tick(background)
+	go d.followSettings(background, source)
 	<-ctx.Done()
 	d.stop(servers)
 	return nil
@@ -188,10 +189,10 @@
 
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
-		Service: d.settings.Service, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
+		Service: func() id.Service { return d.settings.Load().Service }, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
 		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, Now: d.now,
 	})
-	beacons, err := net.ListenPacket("udp4", d.settings.ControlAddress)
+	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
 	}
@@ -210,10 +211,10 @@
 		server  *http.Server
 		address string
 	}{
-		{s.readiness, d.settings.ReadinessAddress},
-		{s.control, d.settings.ControlAddress},
-		{s.hops, d.settings.HopAddress},
-		{s.callers, d.settings.CallerAddress},
+		{s.readiness, d.settings.Load().ReadinessAddress},
+		{s.control, d.settings.Load().ControlAddress},
+		{s.hops, d.settings.Load().HopAddress},
+		{s.callers, d.settings.Load().CallerAddress},
 	} {
 		if err := d.serve(ctx, one.server, one.address); err != nil {
 			return nil, err
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -98,7 +98,7 @@
 		return
 	}
 	s.d.table.Store(table)
-	s.d.local.SetConnections(table.Services[s.d.settings.Service].Connections)
+	s.d.local.SetConnections(table.Services[s.d.settings.Load().Service].Connections)
 	s.d.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)),
 		zap.Int("routes", table.Routes()), zap.Uint64("revision", uint64(item.Revision)))
 }
@@ -108,7 +108,7 @@
 	all := s.servers.All()
 	s.d.chooser.SetServers(all)
 	s.d.members.setServers(all)
-	s.d.local.SetCurrent(s.servers.At(s.d.settings.BackendAddress))
+	s.d.local.SetCurrent(s.servers.At(s.d.settings.Load().BackendAddress))
 }
 
 // expire gives up the lapsed entries that have not returned.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -27,7 +27,7 @@
 // more, and ends the requests in progress.
 func (d *Daemon) stop(s *servers) {
 	began := d.now()
-	deadline := began.Add(d.settings.StopGrace - stopMargin)
+	deadline := began.Add(d.settings.Load().StopGrace - stopMargin)
 	d.stopping.Store(true)
 	d.local.SetLeaving()
 	d.log.Info("stopping", zap.Int64("requests", d.active.Load()))
