Bound the wait for a slot by the response-time goal

Ruled out: service times that grow with the slots in use; a trial with debug output shows them flat up to 18 slots.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -116,10 +116,15 @@
 
 // Enter blocks until the call gets a slot, or refuses it as not run.
 func (g *Gate) Enter(ctx context.Context, now id.Instant, class document.Class, deadline, queueDeadline id.Instant) (*Ticket, *refusal.Error) {
+	return g.EnterRank(ctx, now, classRank(class), deadline, queueDeadline)
+}
+
+// EnterRank is Enter for a call whose place in the queue is given by a rank.
+func (g *Gate) EnterRank(ctx context.Context, now id.Instant, rank Rank, deadline, queueDeadline id.Instant) (*Ticket, *refusal.Error) {
 	if err := ctx.Err(); err != nil {
 		return nil, gone(err)
 	}
-	ticket, waiting, reason := g.offer(now, class, deadline, queueDeadline)
+	ticket, waiting, reason := g.offerRank(now, rank, deadline, queueDeadline)
 	switch {
 	case reason != refusal.None:
 		return nil, refusal.New(reason, refusal.NotRun)
@@ -209,8 +214,12 @@
 	return g.running, g.queue.total
 }
 
-// offer gives a ticket, a place in the queue or the reason of a refusal.
 func (g *Gate) offer(now id.Instant, class document.Class, deadline, queueDeadline id.Instant) (*Ticket, *waiter, refusal.Reason) {
+	return g.offerRank(now, classRank(class), deadline, queueDeadline)
+}
+
+// offerRank gives a ticket, a place in the queue or the reason of a refusal.
+func (g *Gate) offerRank(now id.Instant, rank Rank, deadline, queueDeadline id.Instant) (*Ticket, *waiter, refusal.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.observe(now)
@@ -224,7 +233,6 @@
 	if g.queue.total == 0 && g.running < g.capacity() {
 		return g.grant(), nil, refusal.None
 	}
-	rank := rankOf(class)
 	waiting := &waiter{rank: rank, deadline: deadline, queueDeadline: queueDeadline, done: make(chan struct{})}
 	if reason := g.early(waiting); reason != refusal.None {
 		return nil, nil, reason
@@ -251,7 +259,7 @@
 }
 
 // displace refuses the newest queued call of a class below rank.
-func (g *Gate) displace(rank int) bool {
+func (g *Gate) displace(rank Rank) bool {
 	last := g.queue.lowest(rank)
 	if last == nil {
 		return false
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -6,12 +6,18 @@
 	"marjoramsaddle/core/refusal"
 )
 
-// classCount is the number of priority classes.
-const classCount = 3
+// Rank is the place of a call in the order of service, zero being the most
+// important.
+type Rank int
 
-// rankOf returns the place of a class, zero being the most important. An
-// unknown class ranks last.
-func rankOf(class document.Class) int {
+// rankCount is the number of ranks; routes have about three priorities.
+const rankCount = 4
+
+// RankOf returns the rank of a route's priority.
+func RankOf(priority int) Rank { return Rank(min(max(0, priority), rankCount-1)) }
+
+// classRank returns the rank of a class. An unknown class ranks last.
+func classRank(class document.Class) Rank {
 	switch class {
 	case document.ClassOrder:
 		return 0
@@ -20,13 +26,13 @@
 	case document.ClassInternal:
 		return 2
 	default:
-		return classCount - 1
+		return rankCount - 1
 	}
 }
 
 // waiter is one queued call. The gate's lock guards it until done is closed.
 type waiter struct {
-	rank          int
+	rank          Rank
 	deadline      id.Instant
 	queueDeadline id.Instant
 	done          chan struct{}
@@ -52,9 +58,9 @@
 
 // queue holds one list of waiting calls for each class, in order of arrival.
 type queue struct {
-	head  [classCount]*waiter
-	tail  [classCount]*waiter
-	count [classCount]int
+	head  [rankCount]*waiter
+	tail  [rankCount]*waiter
+	count [rankCount]int
 	total int
 }
 
@@ -123,17 +129,17 @@
 }
 
 // lowest returns the newest call of the lowest class below rank, or nil.
-func (q *queue) lowest(rank int) *waiter {
-	for class := classCount - 1; class > rank; class-- {
-		if q.tail[class] != nil {
-			return q.tail[class]
+func (q *queue) lowest(rank Rank) *waiter {
+	for other := Rank(rankCount - 1); other > rank; other-- {
+		if q.tail[other] != nil {
+			return q.tail[other]
 		}
 	}
 	return nil
 }
 
 // ahead returns how many calls are served before a new one of the given rank.
-func (q *queue) ahead(rank int) int {
+func (q *queue) ahead(rank Rank) int {
 	sum := 0
 	for _, count := range q.count[:rank+1] {
 		sum += count
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -21,6 +21,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -43,6 +44,10 @@
 	// farLargePenalty is added for long answers instead, because the links
 	// between failure domains are the scarce ones.
 	farLargePenalty = 400 * time.Millisecond
+	// busyShare is the wait expected of a server whose slots are all in use, as a
+	// part of its service time; busyPower lets it fall off with free slots.
+	busyShare = 0.5
+	busyPower = 4
 	// coldFactor is how much slower a backend server is right after its start.
 	coldFactor = 2.0
 	// strikeLimit is the number of failures in a row after which a backend
@@ -76,10 +81,10 @@
 
 // Report is what the daemon beside a backend server tells of it.
 type Report struct {
-	Server  backend.ID   
-	Running int          
-	Queued  int          
-	Slots   int          
+	Server  backend.ID
+	Running int
+	Queued  int
+	Slots   int
 	Service time.Duration
 	// Leaving is set when neither daemon nor backend server takes new work.
 	Leaving bool
@@ -276,8 +281,9 @@
 	if over := load + 1 - slots; over > 0 {
 		wait = time.Duration(float64(over) / float64(slots) * float64(service))
 	}
-	// A fuller server is a little slower well before its slots are used up.
-	busy := time.Duration(float64(service) * float64(min(load, slots)) / float64(slots) / 2)
+	// Reports are a little old, so the last slots of a server may be taken.
+	used := float64(min(load, slots)) / float64(slots)
+	busy := time.Duration(busyShare * math.Pow(used, busyPower) * float64(service))
 	expected := wait + service + busy
 	if one.server.Domain != c.domain {
 		expected += farPenalty
--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -138,4 +138,3 @@
 	}
 	return changes, time.Duration(age) * time.Millisecond, nil
 }
-
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -76,7 +76,10 @@
 }
 
 // Handler accepts requests.
-type Handler struct{ options Options }
+type Handler struct {
+	options  Options
+	patience patienceTable
+}
 
 // New returns a handler.
 func New(options Options) *Handler { return &Handler{options: options} }
@@ -96,6 +99,7 @@
 	Refused  *refusal.Error
 	Took     time.Duration
 	Left     time.Duration
+	Returned bool
 	Aim      time.Duration
 	Expected time.Duration
 }
@@ -107,6 +111,8 @@
 	request  *http1.Request
 	arrived  id.Instant
 	deadline id.Instant
+	// returned is set for a client that was refused before.
+	returned bool
 	record   Record
 	exclude  []backend.ID
 }
@@ -167,12 +173,14 @@
 	if !known {
 		patience = defaultPatience
 	}
+	j.returned = h.patience.returned(j.route.Name, patience)
 	if timeout := j.route.Timeout; timeout > 0 {
 		patience = min(patience, timeout)
 	}
 	j.deadline = j.arrived.Add(patience)
 	j.service = j.route.Next()
 	j.record.Route, j.record.Service, j.record.Aim = j.route.Name, j.service, j.route.Aim
+	j.record.Returned = j.returned
 }
 
 // refuse answers a request that has no answer of a backend server. The status
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -32,14 +32,16 @@
 // The headers that daemons exchange. Ingress removes them from what clients
 // send.
 const (
-	headerPrefix  = "Marjoramsaddle-"
-	headerServer  = headerPrefix + "Server"
-	headerLeft    = headerPrefix + "Left-Us"
-	headerRank    = headerPrefix + "Rank"
-	headerNoWait  = headerPrefix + "No-Wait"
-	headerOutcome = headerPrefix + "Outcome"
-	headerReason  = headerPrefix + "Reason"
-	headerLoad    = headerPrefix + "Load"
+	headerPrefix   = "Marjoramsaddle-"
+	headerServer   = headerPrefix + "Server"
+	headerLeft     = headerPrefix + "Left-Us"
+	headerRank     = headerPrefix + "Rank"
+	headerAim      = headerPrefix + "Aim-Us"
+	headerReturned = headerPrefix + "Returned"
+	headerNoWait   = headerPrefix + "No-Wait"
+	headerOutcome  = headerPrefix + "Outcome"
+	headerReason   = headerPrefix + "Reason"
+	headerLoad     = headerPrefix + "Load"
 )
 
 // flagSet is the value of a header that is a flag.
@@ -54,6 +56,10 @@
 	Left time.Duration
 	// Rank is the priority; zero is the most urgent.
 	Rank int
+	// Returned is set for a client that was refused before.
+	Returned bool
+	// Aim is the time within which an answer has its full worth.
+	Aim time.Duration
 	// NoWait refuses the request when no slot is free.
 	NoWait bool
 }
@@ -68,27 +74,35 @@
 	header.Set(headerServer, string(c.Server))
 	header.Set(headerLeft, strconv.FormatInt(c.Left.Microseconds(), 10))
 	header.Set(headerRank, strconv.Itoa(c.Rank))
+	header.Set(headerAim, strconv.FormatInt(c.Aim.Microseconds(), 10))
 	if c.NoWait {
 		header.Set(headerNoWait, flagSet)
 	}
+	if c.Returned {
+		header.Set(headerReturned, flagSet)
+	}
 }
 
 var errCallHeaders = errors.New("relay: the headers of the call are missing or wrong")
 
 func readCall(header http.Header) (Call, error) {
-	left, err := strconv.ParseInt(header.Get(headerLeft), 10, 64)
-	if err != nil {
-		return Call{}, errCallHeaders
+	var spans [2]time.Duration
+	for i, name := range []string{headerLeft, headerAim} {
+		micros, err := strconv.ParseInt(header.Get(name), 10, 64)
+		if err != nil {
+			return Call{}, errCallHeaders
+		}
+		spans[i] = time.Duration(micros) * time.Microsecond
 	}
 	rank, err := strconv.Atoi(header.Get(headerRank))
 	if err != nil || header.Get(headerServer) == "" {
 		return Call{}, errCallHeaders
 	}
 	return Call{
-		Server: backend.ID(header.Get(headerServer)),
-		Left:   time.Duration(left) * time.Microsecond,
-		Rank:   rank,
-		NoWait: header.Get(headerNoWait) == flagSet,
+		Server: backend.ID(header.Get(headerServer)), Rank: rank,
+		Left: spans[0], Aim: spans[1],
+		Returned: header.Get(headerReturned) == flagSet,
+		NoWait:   header.Get(headerNoWait) == flagSet,
 	}, nil
 }
 
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -19,7 +19,6 @@
 
 	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/backend"
-	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
@@ -161,11 +160,8 @@
 	if refused := s.check(call.Server); refused != nil {
 		return nil, refused
 	}
-	queueDeadline := deadline
-	if call.NoWait {
-		queueDeadline = now
-	}
-	ticket, refused := s.gate.Enter(ctx, now, classOf(call.Rank), deadline, queueDeadline)
+	rank := admission.RankOf(call.Rank)
+	ticket, refused := s.gate.EnterRank(ctx, now, rank, deadline, now.Add(s.longestWait(call)))
 	if refused != nil {
 		return nil, refused
 	}
@@ -234,16 +230,18 @@
 	return refusal.Wrap(reason, outcome, err)
 }
 
-// classOf maps the priorities of routes to the classes of the gate.
-func classOf(rank int) document.Class {
-	switch rank {
-	case 0:
-		return document.ClassOrder
-	case 1:
-		return document.ClassLookup
-	default:
-		return document.ClassInternal
+// longestWait returns how long the request may wait for a slot.
+func (s *Server) longestWait(call relay.Call) time.Duration {
+	if call.NoWait {
+		return 0
+	}
+	s.mu.Lock()
+	service := s.service.mean
+	s.mu.Unlock()
+	wait := admission.Wait{
+		Aim: call.Aim, Left: call.Left, Service: service, Returned: call.Returned,
 	}
+	return wait.Longest()
 }
 
 // serviceWeight is the weight of one sample in the mean service time.
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -294,4 +294,3 @@
 	case <-ctx.Done():
 	}
 }
-
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -88,10 +88,10 @@
 	confirmed atomic.Int64
 	// lastRead is when this daemon itself last heard from the store.
 	lastRead atomic.Int64
-	stopping  atomic.Bool
-	sequence  atomic.Uint64
-	active    atomic.Int64
-	lastWork  atomic.Int64
+	stopping atomic.Bool
+	sequence atomic.Uint64
+	active   atomic.Int64
+	lastWork atomic.Int64
 
 	budgetsMu sync.Mutex
 	budgets   map[id.Service]*retry.Budget
@@ -104,13 +104,13 @@
 		return nil, err
 	}
 	d := &Daemon{
-		log:      log.Named("sidecar"),
-		metrics:  metrics,
-		started:  time.Now(),
-		mirror:   mirror.New(),
-		store:    platform.NewStore(settings.StoreAddress),
-		chooser:  placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
-		budgets:  map[id.Service]*retry.Budget{},
+		log:     log.Named("sidecar"),
+		metrics: metrics,
+		started: time.Now(),
+		mirror:  mirror.New(),
+		store:   platform.NewStore(settings.StoreAddress),
+		chooser: placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
+		budgets: map[id.Service]*retry.Budget{},
 	}
 	d.settings.Store(&settings)
 	d.requests = newRequestLog(log.Named("request"), metrics)
