--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,7 +59,7 @@
 	// retryShare is the share of the platform's retry ratio that is used. A
 	// repeat also repeats the calls that its run makes, which count at the
 	// service that is called.
-	retryShare = 0.5
+	retryShare = 0.4
 	percent    = 100
 )
 
