--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -96,7 +96,7 @@
 // may run again.
 func (h *Handler) worthRepeating(j *job, answer *http1.Answer) bool {
 	return answer.Status == http.StatusInternalServerError && j.route.Idempotent &&
-		j.request.Stream == nil && h.options.Now().Before(j.deadline)
+		!relay.CallRefused(answer.Header) && j.request.Stream == nil && h.options.Now().Before(j.deadline)
 }
 
 var errNoServer = errors.New("no backend server of the service takes requests")
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -54,6 +54,9 @@
 	Finished(server backend.ID, result placement.Result, now id.Instant)
 }
 
+// Run is a request that the backend server of this host works on.
+type Run interface{ CallRefused() }
+
 // Recorder counts and logs requests.
 type Recorder interface {
 	Done(record *Record)
@@ -72,13 +75,16 @@
 	// Budget returns the retry budget of a service.
 	Budget   func(service id.Service) *retry.Budget
 	Recorder Recorder
-	Now      func() id.Instant
+	// RunOf returns the run on this host that makes the request, or nil.
+	RunOf func(requestID string) Run
+	Now   func() id.Instant
 }
 
 // Handler accepts requests.
 type Handler struct {
-	options  Options
-	patience patienceTable
+	options   Options
+	patience  patienceTable
+	throttles throttleTable
 }
 
 // New returns a handler.
@@ -100,6 +106,7 @@
 	Took     time.Duration
 	Left     time.Duration
 	Returned bool
+	Internal bool
 	Aim      time.Duration
 	Expected time.Duration
 }
@@ -113,14 +120,18 @@
 	deadline id.Instant
 	// returned is set for a client that was refused before.
 	returned bool
-	record   Record
-	exclude  []backend.ID
+	// run makes this request; nil for a request of a client.
+	run     Run
+	record  Record
+	exclude []backend.ID
 }
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	j := &job{arrived: h.options.Now()}
 	j.record.RequestID = h.options.Dialect.RequestID(r.Header)
+	j.run = h.options.RunOf(j.record.RequestID)
+	j.record.Internal = j.run != nil
 	answer, refused := h.serve(r, j)
 	j.record.Refused = refused
 	j.record.Took = h.options.Now().Sub(j.arrived)
@@ -128,12 +139,16 @@
 	switch {
 	case refused == nil:
 		j.record.Status = answer.Status
+		relay.Strip(answer.Header)
 		relay.WriteAnswer(w, answer)
 	case refused.Reason == refusal.CallerGone:
 		h.options.Recorder.Done(&j.record)
 		// Nobody reads an answer; net/http must not write one of its own.
 		panic(http.ErrAbortHandler)
 	default:
+		if j.run != nil {
+			j.run.CallRefused()
+		}
 		h.refuse(w, j, refused)
 	}
 	h.options.Recorder.Done(&j.record)
@@ -162,9 +177,17 @@
 	}
 	h.options.Dialect.SetCaller(request.Header, h.options.Service())
 	j.request = request
+	throttled := h.throttles.of(j.route.Name)
+	if !throttled.Admit(h.options.Now(), rand.Uint64()) {
+		return nil, refusal.New(refusal.Busy, refusal.NotRun)
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), j.deadline.Sub(h.options.Now())+answerGrace)
 	defer cancel()
-	return h.attempts(ctx, j)
+	answer, refused := h.attempts(ctx, j)
+	if refused == nil {
+		throttled.Done(h.options.Now(), !relay.CallRefused(answer.Header))
+	}
+	return answer, refused
 }
 
 // plan sets what the route and the client say about the request.
@@ -173,7 +196,9 @@
 	if !known {
 		patience = defaultPatience
 	}
-	j.returned = h.patience.returned(j.route.Name, patience)
+	if j.run == nil {
+		j.returned = h.patience.returned(j.route.Name, patience)
+	}
 	if timeout := j.route.Timeout; timeout > 0 {
 		patience = min(patience, timeout)
 	}
@@ -183,6 +208,20 @@
 	j.record.Returned = j.returned
 }
 
+// restartTime is how long a daemon takes to be back after its end.
+const restartTime = time.Second
+
+// Leave refuses a request because this daemon is about to end.
+func (h *Handler) Leave(w http.ResponseWriter, r *http.Request) {
+	j := &job{arrived: h.options.Now()}
+	j.record.RequestID = h.options.Dialect.RequestID(r.Header)
+	j.record.Refused = refusal.New(refusal.Leaving, refusal.NotRun)
+	j.record.Expected = restartTime
+	w.Header().Set("Connection", "close")
+	h.refuse(w, j, j.record.Refused)
+	h.options.Recorder.Done(&j.record)
+}
+
 // refuse answers a request that has no answer of a backend server. The status
 // 503 promises that the request has not run.
 func (h *Handler) refuse(w http.ResponseWriter, j *job, refused *refusal.Error) {
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -32,16 +32,17 @@
 // The headers that daemons exchange. Ingress removes them from what clients
 // send.
 const (
-	headerPrefix   = "Marjoramsaddle-"
-	headerServer   = headerPrefix + "Server"
-	headerLeft     = headerPrefix + "Left-Us"
-	headerRank     = headerPrefix + "Rank"
-	headerAim      = headerPrefix + "Aim-Us"
-	headerReturned = headerPrefix + "Returned"
-	headerNoWait   = headerPrefix + "No-Wait"
-	headerOutcome  = headerPrefix + "Outcome"
-	headerReason   = headerPrefix + "Reason"
-	headerLoad     = headerPrefix + "Load"
+	headerPrefix      = "Marjoramsaddle-"
+	headerServer      = headerPrefix + "Server"
+	headerLeft        = headerPrefix + "Left-Us"
+	headerRank        = headerPrefix + "Rank"
+	headerAim         = headerPrefix + "Aim-Us"
+	headerReturned    = headerPrefix + "Returned"
+	headerCallRefused = headerPrefix + "Call-Refused"
+	headerNoWait      = headerPrefix + "No-Wait"
+	headerOutcome     = headerPrefix + "Outcome"
+	headerReason      = headerPrefix + "Reason"
+	headerLoad        = headerPrefix + "Load"
 )
 
 // flagSet is the value of a header that is a flag.
@@ -106,6 +107,13 @@
 	}, nil
 }
 
+// MarkCallRefused notes in an answer that the run failed because one of its
+// calls was turned away.
+func MarkCallRefused(header http.Header) { header.Set(headerCallRefused, flagSet) }
+
+// CallRefused reports whether MarkCallRefused was called for the answer.
+func CallRefused(header http.Header) bool { return header.Get(headerCallRefused) == flagSet }
+
 // Strip removes the daemons' own headers.
 func Strip(header http.Header) {
 	for name := range header {
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -59,7 +59,6 @@
 	if reason != refusal.None {
 		return nil, refusal.New(reason, parseOutcome(outcome))
 	}
-	Strip(answer.Header)
 	return answer, nil
 }
 
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -48,6 +48,11 @@
 	WriteAnswer(w, answer)
 }
 
+// Leave refuses a request because this daemon is about to end.
+func (h *Handler) Leave(w http.ResponseWriter, _ *http.Request) {
+	h.refuse(w, refusal.New(refusal.Leaving, refusal.NotRun))
+}
+
 func (h *Handler) refuse(w http.ResponseWriter, refused *refusal.Error) {
 	header := w.Header()
 	header.Set(headerOutcome, refused.Outcome.String())
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -44,6 +44,7 @@
 	Genuine(header http.Header) bool
 	Rejected(status int, header http.Header) bool
 	Instance(header http.Header) backend.ID
+	RequestID(header http.Header) string
 }
 
 // Options of a Server.
@@ -64,11 +65,12 @@
 	mu          sync.Mutex
 	connections int
 	service     serviceTime
+	runs        map[string]*Run
 }
 
 // New returns a server that refuses everything until SetCurrent.
 func New(options Options) *Server {
-	return &Server{options: options, gate: admission.NewGate(assumedSlots, assumedSlots)}
+	return &Server{options: options, gate: admission.NewGate(assumedSlots, assumedSlots), runs: map[string]*Run{}}
 }
 
 // SetCurrent says which backend server is listed at the address, if any.
@@ -175,16 +177,22 @@
 		return nil, refusal.New(refusal.DeadlinePassed, refusal.NotRun)
 	}
 	s.options.Dialect.Prepare(request.Header, deadline.Sub(started), call.Server)
+	run := s.begin(s.options.Dialect.RequestID(request.Header))
 	answer, err := s.options.Pool.Do(ctx, s.options.Address, request)
+	s.end(run)
 	if err != nil {
 		return nil, failure(ctx, err)
 	}
 	if refused := s.classify(answer); refused != nil {
 		return nil, refused
 	}
-	s.mu.Lock()
-	s.service.sample(s.options.Now().Sub(started))
-	s.mu.Unlock()
+	if answer.Status < http.StatusInternalServerError {
+		s.mu.Lock()
+		s.service.sample(s.options.Now().Sub(started))
+		s.mu.Unlock()
+	} else if run.callRefused.Load() {
+		relay.MarkCallRefused(answer.Header)
+	}
 	return answer, nil
 }
 
@@ -239,7 +247,8 @@
 	service := s.service.mean
 	s.mu.Unlock()
 	wait := admission.Wait{
-		Aim: call.Aim, Left: call.Left, Service: service, Returned: call.Returned,
+		Aim: call.Aim, Left: call.Left, Service: service,
+		Returned: call.Returned,
 	}
 	return wait.Longest()
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -89,6 +89,8 @@
 	// lastRead is when this daemon itself last heard from the store.
 	lastRead atomic.Int64
 	stopping atomic.Bool
+	// ending is set when new requests are refused before the end.
+	ending   atomic.Bool
 	sequence atomic.Uint64
 	active   atomic.Int64
 	lastWork atomic.Int64
@@ -161,6 +163,14 @@
 	return budget
 }
 
+// runOf returns the run on this host that makes the request, or nil.
+func (d *Daemon) runOf(requestID string) ingress.Run {
+	if run := d.local.RunOf(requestID); run != nil {
+		return run
+	}
+	return nil
+}
+
 // Run serves until the context ends, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context, source Source) error {
 	d.log.Info("starting", zap.String("host", string(d.settings.Load().Host)), zap.String("domain", string(d.settings.Load().Domain)),
@@ -190,8 +200,9 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, Now: d.now,
+		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, RunOf: d.runOf, Now: d.now,
 	})
+	hops := relay.NewHandler(d.local)
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
@@ -201,8 +212,8 @@
 	})
 	go d.gossip.Receive()
 	s := &servers{
-		callers:   d.newServer(d.counted(handler)),
-		hops:      d.newServer(d.counted(relay.NewHandler(d.local))),
+		callers:   d.newServer(d.counted(handler, handler.Leave)),
+		hops:      d.newServer(d.counted(hops, hops.Leave)),
 		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
 		readiness: d.newServer(http.HandlerFunc(d.ready)),
 		beacons:   beacons,
@@ -245,8 +256,12 @@
 }
 
 // counted keeps the number of requests under way, for the stop.
-func (d *Daemon) counted(next http.Handler) http.Handler {
+func (d *Daemon) counted(next http.Handler, ending http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.ending.Load() {
+			ending(w, r)
+			return
+		}
 		d.active.Add(1)
 		defer func() {
 			d.lastWork.Store(int64(d.now()))
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -17,25 +17,36 @@
 	readinessNotice = 2500 * time.Millisecond
 	// quietPeriod without a request shows that senders have noticed.
 	quietPeriod = 300 * time.Millisecond
+	// acceptShare is the part of the grace in which new requests are served. The
+	// rest is for those in progress, whose timeouts are about a second.
+	acceptShare = 0.58
 	// stopMargin is kept before the platform kills the process.
-	stopMargin = 600 * time.Millisecond
+	stopMargin = 200 * time.Millisecond
 	// stopPoll is how often the stop looks for the end of the work.
 	stopPoll = 20 * time.Millisecond
 )
 
 // stop fails readiness, tells the other daemons, serves until nobody sends any
-// more, and ends the requests in progress.
+// more or half of the grace has passed, and then refuses new requests while
+// those in progress end.
 func (d *Daemon) stop(s *servers) {
 	began := d.now()
-	deadline := began.Add(d.settings.Load().StopGrace - stopMargin)
+	grace := d.settings.Load().StopGrace
+	accepted := began.Add(time.Duration(acceptShare * float64(grace)))
+	deadline := began.Add(grace - stopMargin)
 	d.stopping.Store(true)
 	d.local.SetLeaving()
+	d.gossip.Send(d.members.addresses())
 	d.log.Info("stopping", zap.Int64("requests", d.active.Load()))
-	for d.now().Before(deadline) && !d.quiet(began) {
+	for d.now().Before(accepted) && !d.quiet(began) {
 		time.Sleep(stopPoll)
 	}
-	remaining := max(stopPoll, deadline.Sub(d.now()))
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	d.ending.Store(true)
+	d.log.Info("refusing new requests", zap.Int64("requests", d.active.Load()))
+	for d.now().Before(deadline) && d.active.Load() > 0 {
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(stopPoll, deadline.Sub(d.now())))
 	defer cancel()
 	var ending sync.WaitGroup
 	for _, server := range []*http.Server{s.callers, s.hops} {
