--- /dev/null
+++ b/core/backend/backend_test.go
@@ -0,0 +1,55 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/id"
+)
+
+// Guards against losing all backend servers when their entries lapse because
+// the store was away, and against keeping those that do not come back.
+func TestLapse(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	table := NewTable()
+	table.Put(Server{ID: "i-1", Address: "a:1"}, now)
+	table.Put(Server{ID: "i-2", Address: "a:2"}, now)
+	table.Put(Server{ID: "i-3", Address: "a:3", State: Draining}, now)
+	table.Remove("i-1", now, true)
+	table.Remove("i-2", now, false)
+	table.Remove("i-3", now, true)
+	is.Equal(len(table.All()), 1)
+	is.True(!table.Expire(now.Add(lapseHold)))
+	table.Put(Server{ID: "i-1", Address: "a:1"}, now.Add(time.Second))
+	is.True(!table.Expire(now.Add(time.Minute)))
+	table.Remove("i-1", now, true)
+	is.True(table.Expire(now.Add(lapseHold + 1)))
+	is.Equal(len(table.All()), 0)
+}
+
+// Guards against requests for the former process at an address that was given
+// to another one.
+func TestAtTakesTheNewest(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	table.Put(Server{ID: "i-9", Address: "a:1", Born: 1}, 0)
+	table.Put(Server{ID: "i-1", Address: "a:1", Born: 2}, 0)
+	table.Put(Server{ID: "i-5", Address: "b:1", Born: 3}, 0)
+	server, found := table.At("a:1")
+	is.True(found)
+	is.Equal(server.ID, ID("i-1"))
+	_, found = table.At("c:1")
+	is.True(!found)
+}
+
+// Guards against a line in the log for each heartbeat.
+func TestPutReportsChanges(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	is.True(table.Put(Server{ID: "i-1", Sequence: 1, ColdLeft: time.Second}, 0))
+	is.True(!table.Put(Server{ID: "i-1", Sequence: 2}, 5))
+	is.True(table.Put(Server{ID: "i-1", Sequence: 3, State: Draining}, 9))
+}
--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -98,7 +98,7 @@
 			applied = append(applied, Item{Key: key, Revision: asOf, Deleted: true})
 		}
 	}
-	slices.SortFunc(applied, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortStableFunc(applied, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
 	m.items, m.history, m.begins = listed, nil, asOf
 	m.advance(asOf)
 	return applied
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
+)
+
+const service id.Service = "counter"
+
+func server(name backend.ID, domain id.Domain) backend.Server {
+	return backend.Server{ID: name, Service: service, Domain: domain, Slots: 10}
+}
+
+func choose(t *testing.T, c *Chooser, request Request, count int) map[backend.ID]int {
+	t.Helper()
+	counts := map[backend.ID]int{}
+	request.Service = service
+	for range count {
+		choice, found := c.Choose(request)
+		if !found {
+			t.Fatal("no backend server")
+		}
+		counts[choice.Server.ID]++
+	}
+	return counts
+}
+
+// Guards against work for slow or full backend servers while a fast one has
+// free slots.
+func TestChooseByExpectedTime(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	c.SetServers([]backend.Server{server("fast", "reduit"), server("slow", "reduit"), server("full", "reduit")})
+	c.Report(Report{Server: "fast", Running: 5, Slots: 10, Service: 100 * time.Millisecond, At: now})
+	c.Report(Report{Server: "slow", Slots: 10, Service: 300 * time.Millisecond, At: now})
+	c.Report(Report{Server: "full", Running: 10, Queued: 30, Slots: 10, Service: 100 * time.Millisecond, At: now})
+	is.Equal(choose(t, c, Request{Now: now}, 50)["fast"], 50)
+	// What this daemon sends itself counts before the next report.
+	for range 40 {
+		c.Started("fast")
+	}
+	is.Equal(choose(t, c, Request{Now: now}, 50)["slow"], 50)
+	c.Report(Report{Server: "fast", Running: 5, Slots: 10, Service: 100 * time.Millisecond, At: now + 1})
+	// Forty requests are still known to be under way there.
+	is.Equal(choose(t, c, Request{Now: now}, 50)["slow"], 50)
+}
+
+// Guards against downloads that leave the failure domain for a few
+// milliseconds, and against their failing when only others have room.
+func TestLargeAnswersStay(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	c.SetServers([]backend.Server{server("near", "reduit"), server("far", "ebene")})
+	c.Report(Report{Server: "near", Running: 9, Slots: 10, Service: 200 * time.Millisecond, At: now})
+	c.Report(Report{Server: "far", Slots: 10, Service: 100 * time.Millisecond, At: now})
+	is.Equal(choose(t, c, Request{Now: now, Large: true}, 20)["near"], 20)
+	is.Equal(choose(t, c, Request{Now: now}, 20)["far"], 20)
+	c.Report(Report{Server: "near", Running: 10, Queued: 40, Slots: 10, Service: 200 * time.Millisecond, At: now})
+	is.Equal(choose(t, c, Request{Now: now, Large: true}, 20)["far"], 20)
+}
+
+// Guards against work for a backend server that leaves, fails again and again,
+// or has just refused; and against refusing everything when all have failed.
+func TestPassedOver(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	servers := []backend.Server{server("a", "reduit"), server("b", "reduit")}
+	c.SetServers(servers)
+	for range strikeLimit {
+		c.Started("a")
+		c.Finished("a", Failed, now)
+	}
+	is.Equal(choose(t, c, Request{Now: now}, 20)["b"], 20)
+	is.True(choose(t, c, Request{Now: now.Add(firstPass)}, 50)["a"] > 0)
+	c.Finished("b", Refused, now)
+	is.Equal(len(choose(t, c, Request{Now: now}, 50)), 2)
+	c.Report(Report{Server: "b", Leaving: true, At: now})
+	is.Equal(choose(t, c, Request{Now: now}, 20)["a"], 20)
+	servers[0].State = backend.Draining
+	c.SetServers(servers)
+	_, found := c.Choose(Request{Service: service, Now: now})
+	is.True(!found)
+	// A new process under the same id starts with a clean record.
+	servers[0].State, servers[0].Born = backend.Ready, 5
+	c.SetServers(servers)
+	is.Equal(choose(t, c, Request{Now: now}, 20)["a"], 20)
+	_, found = c.Choose(Request{Service: service, Now: now, Exclude: []backend.ID{"a", "b"}})
+	is.True(!found)
+}
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -37,7 +37,9 @@
 
 // Throttle is safe for concurrent use.
 type Throttle struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// ended counts the requests that have a result or were held back, served
+	// those of them that were served. Both fade.
 	ended  float64
 	served float64
 	latest id.Instant
@@ -55,7 +57,13 @@
 		return true
 	}
 	share := headroom * t.served / t.ended
-	return float64(random>>11)/(1<<53) < share
+	if float64(random>>11)/(1<<53) < share {
+		return true
+	}
+	// What is held back counts as asked for, or the share would rise again with
+	// each request that is.
+	t.ended++
+	return false
 }
 
 // Done records the result of a request that was let through: served, or failed
--- /dev/null
+++ b/io/control/control_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/core/placement"
+	"marjoramsaddle/io/http1"
+)
+
+// Guards against a load or revision that changes on the way, and against texts
+// or counts that do not fit.
+func TestBeacon(t *testing.T) {
+	is := is.New(t)
+	sent := Beacon{
+		Domain: "reduit", Boot: 7, Sequence: 9, Revision: 1 << 40, StoreAge: 20 * time.Millisecond, ReadAge: 3 * time.Second,
+		Load: placement.Report{Server: "i-1", Running: 3, Queued: 70000, Slots: 18, Service: 150 * time.Millisecond, Leaving: true},
+	}
+	got, err := decodeBeacon(encodeBeacon(sent))
+	is.NoErr(err)
+	sent.Load.Queued = 65535
+	is.Equal(got, sent)
+	sent.Load.Queued = -1
+	got, err = decodeBeacon(encodeBeacon(sent))
+	is.NoErr(err)
+	is.Equal(got.Load.Queued, 0)
+}
+
+// Guards against a crash of a daemon by a foreign datagram.
+func FuzzDecodeBeacon(f *testing.F) {
+	f.Add(encodeBeacon(Beacon{Domain: "reduit", Load: placement.Report{Server: "i-1"}}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if beacon, err := decodeBeacon(data); err == nil {
+			if _, err := decodeBeacon(encodeBeacon(beacon)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// Guards against a crash of a daemon by a foreign answer.
+func FuzzDecodeChanges(f *testing.F) {
+	var out bytes.Buffer
+	if err := encodeChanges(&out, mirror.Changes{Events: []mirror.Item{{Key: "a", Value: []byte("b")}}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(out.Bytes())
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		// Only a crash matters; errors are expected.
+		_, _ = decodeChanges(bytes.NewReader(data))
+	})
+}
+
+// Guards against a daemon without the store staying behind its neighbour: the
+// neighbour's changes arrive while it waits, and whole when it has nothing.
+func TestFollow(t *testing.T) {
+	is := is.New(t)
+	source, follower := mirror.New(), mirror.New()
+	source.Replace([]mirror.Item{{Key: "a", Value: []byte("1"), Revision: 3}}, 4)
+	server := httptest.NewServer(NewHandler(source, func() time.Duration { return 250 * time.Millisecond }))
+	defer server.Close()
+	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleLimit: time.Second, MaxBody: 1 << 20})
+	defer pool.Clear()
+	client := NewClient(pool)
+	address := strings.TrimPrefix(server.URL, "http://")
+	changes, age, err := client.Changes(context.Background(), address, 0, 0)
+	is.NoErr(err)
+	is.True(changes.Whole)
+	is.Equal(age, 250*time.Millisecond)
+	_, err = follower.Apply(changes)
+	is.NoErr(err)
+	go func() {
+		_, _ = source.Apply(mirror.Changes{After: 4, Events: []mirror.Item{{Key: "b", Revision: 5}}, AsOf: 5})
+	}()
+	changes, _, err = client.Changes(context.Background(), address, follower.AsOf(), 5*time.Second)
+	is.NoErr(err)
+	_, err = follower.Apply(changes)
+	is.NoErr(err)
+	is.Equal(follower.AsOf(), mirror.Revision(5))
+	answer, err := pool.Do(context.Background(), address, &http1.Request{
+		Method: http.MethodGet, Target: "/changes?after=x&wait_ms=0", Host: address, Header: http.Header{},
+	})
+	is.NoErr(err)
+	is.Equal(answer.Status, http.StatusBadRequest)
+}
