--- a/cmd/marjoramsaddle-sidecar/main.go
+++ b/cmd/marjoramsaddle-sidecar/main.go
@@ -30,6 +30,9 @@
 // collector works harder; the rest is for what it does not count.
 const memoryShare = 0.6
 
+// defaultMetricsPort is the port that exporters of this format use by custom.
+const defaultMetricsPort = 9464
+
 var errRun = errors.New("run")
 
 func main() {
@@ -57,13 +60,15 @@
 		SilenceUsage:  true,
 	}
 	var file, level string
+	var metricsPort int
 	run := &cobra.Command{
 		Use:   "run",
 		Short: "Serve until SIGTERM, then stop gracefully",
 		Args:  cobra.NoArgs,
-		RunE:  func(*cobra.Command, []string) error { return serve(file, level) },
+		RunE:  func(*cobra.Command, []string) error { return serve(file, level, metricsPort) },
 	}
 	run.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	run.Flags().IntVar(&metricsPort, "metrics-port", defaultMetricsPort, "port that serves the metrics at the host's address")
 	check := &cobra.Command{
 		Use:   "check-settings",
 		Short: "Check the platform's settings file",
@@ -83,7 +88,7 @@
 	return root
 }
 
-func serve(file, level string) error {
+func serve(file, level string, metricsPort int) error {
 	settings, err := platform.LoadSettings(file)
 	if err != nil {
 		return err
@@ -99,7 +104,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d, err := sidecar.New(settings, logger)
+	d, err := sidecar.New(settings, metricsPort, logger)
 	if err != nil {
 		return errors.Join(errRun, err)
 	}
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -117,7 +117,7 @@
 func (f *fleet) start(hosts ...*host) {
 	f.t.Helper()
 	for _, h := range hosts {
-		d, err := New(f.settings(h), zap.NewNop())
+		d, err := New(f.settings(h), 0, zap.NewNop())
 		if err != nil {
 			f.t.Fatal(err)
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -4,7 +4,7 @@
 //
 // Usage:
 //
-//	d, err := sidecar.New(settings, logger)
+//	d, err := sidecar.New(settings, metricsPort, logger)
 //	if err != nil {
 //		return err
 //	}
@@ -17,6 +17,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,8 +69,10 @@
 	settings atomic.Pointer[platform.Settings]
 	log      *zap.Logger
 	metrics  *telemetry.Metrics
-	requests *requestLog
-	started  time.Time
+	// metricsPort serves the metrics; zero takes any free port.
+	metricsPort int
+	requests    *requestLog
+	started     time.Time
 
 	mirror  *mirror.Mirror
 	store   *platform.Store
@@ -100,7 +103,7 @@
 }
 
 // New returns a daemon that has opened nothing yet.
-func New(settings platform.Settings, log *zap.Logger) (*Daemon, error) {
+func New(settings platform.Settings, metricsPort int, log *zap.Logger) (*Daemon, error) {
 	metrics, err := telemetry.NewMetrics()
 	if err != nil {
 		return nil, err
@@ -193,8 +196,9 @@
 
 // servers are the listeners of the daemon.
 type servers struct {
-	callers, hops, control, readiness *http.Server
-	beacons                           net.PacketConn
+	callers, hops, control, readiness, metrics *http.Server
+
+	beacons net.PacketConn
 }
 
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
@@ -216,12 +220,14 @@
 		hops:      d.newServer(d.counted(hops, hops.Leave)),
 		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
 		readiness: d.newServer(http.HandlerFunc(d.ready)),
+		metrics:   d.newServer(d.metrics.Handler()),
 		beacons:   beacons,
 	}
 	for _, one := range []struct {
 		server  *http.Server
 		address string
 	}{
+		{s.metrics, net.JoinHostPort(d.settings.Load().IP, strconv.Itoa(d.metricsPort))},
 		{s.readiness, d.settings.Load().ReadinessAddress},
 		{s.control, d.settings.Load().ControlAddress},
 		{s.hops, d.settings.Load().HopAddress},
