--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -16,8 +16,8 @@
 //	chooser.SetServers(table.All())
 //	chooser.Report(placement.Report{Server: "i-7f3a", Running: 12, Slots: 18, At: now})
 //	chosen, ok := chooser.Choose(placement.Request{Service: "counter", Now: now})
-//	chooser.Started(chosen.ID)
-//	chooser.Finished(chosen.ID, placement.Served, later)
+//	chooser.Started(chosen.Server.ID, now)
+//	chooser.Finished(chosen.Server.ID, placement.Served, later)
 package placement
 
 import (
@@ -36,9 +36,12 @@
 	// draws is the number of backend servers that a request considers. Two are
 	// enough among equal servers; a third finds the fast ones more often.
 	draws = 3
-	// assumedService is the service time before a backend server has told its
-	// own. It only has to be alike for all.
+	// assumedService is the service time while no backend server of a service has
+	// told its own. It only has to be alike for all.
 	assumedService = 100 * time.Millisecond
+	// tryInterval is how long a daemon leaves a backend server without a request
+	// at most, if it has free slots: what is never tried is never known.
+	tryInterval = 2 * time.Second
 	// farPenalty is added for another failure domain, whose network is slower.
 	farPenalty = 5 * time.Millisecond
 	// farLargePenalty is added for long answers instead, because the links
@@ -124,6 +127,8 @@
 	// pending counts the own requests under way, sent those since the report.
 	pending int
 	sent    int
+	// started is when this daemon last sent a request there.
+	started id.Instant
 	strikes int
 	passed  id.Instant
 }
@@ -172,10 +177,11 @@
 }
 
 // Started records that a request goes to the backend server.
-func (c *Chooser) Started(server backend.ID) {
+func (c *Chooser) Started(server backend.ID, now id.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if one := c.servers[server]; one != nil {
+		one.started = now
 		one.pending++
 		one.sent++
 	}
@@ -217,9 +223,39 @@
 		// holds no backend server of it.
 		return c.best(candidates, len(candidates), request), true
 	}
+	if untried := untried(candidates, request.Now); untried != nil {
+		return c.estimate(untried, request), true
+	}
 	return c.best(candidates, draws, request), true
 }
 
+// untried returns a server with free slots that has had no request of this
+// daemon for a while.
+func untried(candidates []*state, now id.Instant) *state {
+	for _, one := range candidates {
+		free := one.report.Running+one.report.Queued < one.server.Slots/2
+		if free && now.Sub(one.started) >= tryInterval {
+			return one
+		}
+	}
+	return nil
+}
+
+// typical returns the mean service time of the known servers of a service.
+func (c *Chooser) typical(service id.Service) time.Duration {
+	sum, count := time.Duration(0), 0
+	for _, one := range c.services[service] {
+		if one.report.Service > 0 {
+			sum += one.report.Service
+			count++
+		}
+	}
+	if count == 0 {
+		return assumedService
+	}
+	return sum / time.Duration(count)
+}
+
 // candidates returns the servers that are neither excluded nor passed over. A
 // server that is passed over is still better than none.
 func (c *Chooser) candidates(request Request) []*state {
@@ -265,15 +301,15 @@
 
 // estimate returns when the backend server would answer.
 func (c *Chooser) estimate(one *state, request Request) Choice {
-	service := assumedService
+	service := one.report.Service
+	if service == 0 {
+		service = c.typical(request.Service)
+	}
 	load, slots := one.pending, max(1, one.server.Slots)
 	if one.report.At > 0 && request.Now.Sub(one.report.At) < reportLife {
 		load = max(one.report.Running+one.report.Queued+one.sent, one.pending)
 		slots = max(1, one.report.Slots)
 	}
-	if one.report.Service > 0 {
-		service = one.report.Service
-	}
 	if request.Now.Before(one.server.ColdUntil) {
 		service = time.Duration(coldFactor * float64(service))
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -20,6 +20,9 @@
 	t.Helper()
 	counts := map[backend.ID]int{}
 	request.Service = service
+	for _, one := range c.servers {
+		one.started = request.Now
+	}
 	for range count {
 		choice, found := c.Choose(request)
 		if !found {
@@ -43,7 +46,7 @@
 	is.Equal(choose(t, c, Request{Now: now}, 50)["fast"], 50)
 	// What this daemon sends itself counts before the next report.
 	for range 40 {
-		c.Started("fast")
+		c.Started("fast", now)
 	}
 	is.Equal(choose(t, c, Request{Now: now}, 50)["slow"], 50)
 	c.Report(Report{Server: "fast", Running: 5, Slots: 10, Service: 100 * time.Millisecond, At: now + 1})
@@ -75,7 +78,7 @@
 	servers := []backend.Server{server("a", "reduit"), server("b", "reduit")}
 	c.SetServers(servers)
 	for range strikeLimit {
-		c.Started("a")
+		c.Started("a", now)
 		c.Finished("a", Failed, now)
 	}
 	is.Equal(choose(t, c, Request{Now: now}, 20)["b"], 20)
@@ -95,3 +98,29 @@
 	_, found = c.Choose(Request{Service: service, Now: now, Exclude: []backend.ID{"a", "b"}})
 	is.True(!found)
 }
+
+// Guards against a backend server that joins a fleet and gets nothing, because
+// nothing is known of it or because it is slower than the others.
+func TestJoinedServerGetsWork(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	c.SetServers([]backend.Server{server("a", "reduit"), server("b", "reduit"), server("new", "ebene")})
+	for _, name := range []backend.ID{"a", "b"} {
+		c.Report(Report{Server: name, Slots: 10, Service: 20 * time.Millisecond, At: now})
+		c.Started(name, now)
+	}
+	c.Report(Report{Server: "new", Slots: 10, Service: 60 * time.Millisecond, At: now})
+	got := 0
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		choice, found := c.Choose(Request{Service: service, Now: now})
+		is.True(found)
+		c.Started(choice.Server.ID, now)
+		c.Finished(choice.Server.ID, Served, now)
+		if choice.Server.ID == "new" {
+			got++
+		}
+	}
+	is.Equal(got, 3)
+}
--- a/core/throttle/throttle.go
+++ b/core/throttle/throttle.go
@@ -3,88 +3,55 @@
 // and room of the called one, and is lost all the same; one that is refused
 // before it runs leaves that room to others.
 //
-// It is the adaptive throttling of client-side load shedding: the share of
-// requests let through follows the share that has lately been served.
+// The share of requests let through falls with each failure and rises with each
+// success, so that about one in ten of them fails while there is a shortage,
+// and the share is back within some hundred requests after it.
 //
 // Usage:
 //
 //	t := throttle.New()
-//	if !t.Admit(now, random) {
+//	if !t.Admit(random) {
 //		return refusal.New(refusal.Busy, refusal.NotRun)
 //	}
-//	t.Done(now, served)
+//	t.Done(served)
 package throttle
 
-import (
-	"math"
-	"sync"
-	"time"
-
-	"marjoramsaddle/core/id"
-)
+import "sync"
 
 const (
-	// headroom is how many requests are let through for each one served. The
-	// surplus finds out when there is room again.
-	headroom = 1.15
-	// halfLife is the time in which a result loses half of its weight. A
-	// shortage lasts for seconds; a few hundred milliseconds would follow single
-	// bursts.
-	halfLife = time.Second
-	// quorum is the number of results below which nothing is held back.
-	quorum = 8
+	// failureFactor and successFactor change the share. Nine successes outweigh
+	// one failure, which finds out when there is room again.
+	failureFactor = 0.85
+	successFactor = 1.3
+	// smallestShare keeps some requests going, without which nothing would be
+	// learned.
+	smallestShare = 0.05
 )
 
 // Throttle is safe for concurrent use.
 type Throttle struct {
-	mu sync.Mutex
-	// ended counts the requests that have a result or were held back, served
-	// those of them that were served. Both fade.
-	ended  float64
-	served float64
-	latest id.Instant
+	mu    sync.Mutex
+	share float64
 }
 
 // New returns a throttle that lets everything through.
-func New() *Throttle { return &Throttle{} }
+func New() *Throttle { return &Throttle{share: 1} }
 
 // Admit reports whether a request may go on. Random is any random number.
-func (t *Throttle) Admit(now id.Instant, random uint64) bool {
+func (t *Throttle) Admit(random uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.decay(now)
-	if t.ended < quorum {
-		return true
-	}
-	share := headroom * t.served / t.ended
-	if float64(random>>11)/(1<<53) < share {
-		return true
-	}
-	// What is held back counts as asked for, or the share would rise again with
-	// each request that is.
-	t.ended++
-	return false
+	return float64(random>>11)/(1<<53) < t.share
 }
 
 // Done records the result of a request that was let through: served, or failed
 // because one of its calls found no room.
-func (t *Throttle) Done(now id.Instant, served bool) {
+func (t *Throttle) Done(served bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.decay(now)
-	t.ended++
 	if served {
-		t.served++
-	}
-}
-
-func (t *Throttle) decay(now id.Instant) {
-	elapsed := now.Sub(t.latest)
-	if elapsed <= 0 {
+		t.share = min(1, t.share*successFactor)
 		return
 	}
-	t.latest = now
-	kept := math.Exp2(-float64(elapsed) / float64(halfLife))
-	t.ended *= kept
-	t.served *= kept
+	t.share = max(smallestShare, t.share*failureFactor)
 }
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -234,3 +234,126 @@
 		})
 	}
 }
+
+func serve(t *testing.T, handler Handler) (*Server, string) {
+	t.Helper()
+	server := NewServer(ServerOptions{Handler: handler, HeaderTimeout: limit, IdleTimeout: limit, MaxHeader: 4 << 10})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return server, listener.Addr().String()
+}
+
+func echo(_ context.Context, r *http.Request) *Answer {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil
+	}
+	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: append([]byte(r.RequestURI+" "), body...)}
+}
+
+// Guards against pipelined lookups that wait for each other, and against
+// answers that leave in another order than the requests came.
+func TestPipelinedRequestsRunTogether(t *testing.T) {
+	is := is.New(t)
+	started := make(chan string, 3)
+	release := make(chan struct{})
+	_, address := serve(t, func(ctx context.Context, r *http.Request) *Answer {
+		started <- r.RequestURI
+		if r.RequestURI == "/1" {
+			<-release
+		}
+		return echo(ctx, r)
+	})
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"+
+		"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"+
+		"POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmore\r\n0\r\n\r\n")
+	is.NoErr(err)
+	for range 3 {
+		select {
+		case <-started:
+		case <-time.After(limit):
+			t.Fatal("a request waits for the one before")
+		}
+	}
+	close(release)
+	reader := bufio.NewReader(conn)
+	for _, want := range []string{"/1 ", "/2 body", "/3 more"} {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(body), want)
+	}
+}
+
+// Guards against bytes that are no request, or no whole one, reaching a handler
+// or being answered with success.
+func TestServerRejects(t *testing.T) {
+	tests := []struct{ name, sent, want string }{
+		{"not http", "rubbish\r\n\r\n", "HTTP/1.1 400"},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400"},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 400"},
+		{"long header", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", "HTTP/1.1 431"},
+		{"cut body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := serve(t, echo)
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, test.sent)
+			is.NoErr(err)
+			is.NoErr(conn.(*net.TCPConn).CloseWrite())
+			// A reset may follow the answer where bytes were left unread.
+			got, _ := io.ReadAll(conn)
+			is.True(strings.HasPrefix(string(got), test.want))
+			is.True(!strings.Contains(string(got), "200"))
+		})
+	}
+}
+
+// Guards against a stop that cuts off a request which was read, and against
+// one that waits for idle connections.
+func TestShutdown(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server, address := serve(t, func(ctx context.Context, r *http.Request) *Answer {
+		close(started)
+		<-release
+		return echo(ctx, r)
+	})
+	idle, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = idle.Close() }()
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		ended <- server.Shutdown(ctx)
+	}()
+	time.Sleep(10 * shutdownPoll)
+	close(release)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.NoErr(<-ended)
+}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -116,7 +116,7 @@
 		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority, Returned: j.returned,
 		Aim: j.route.Aim, NoWait: number <= eagerOffers,
 	}
-	h.options.Chooser.Started(choice.Server.ID)
+	h.options.Chooser.Started(choice.Server.ID, now)
 	answer, refused := h.options.Sender.Do(ctx, &choice.Server, call, j.request)
 	h.options.Chooser.Finished(choice.Server.ID, resultOf(answer, refused), h.options.Now())
 	if refused == nil || reached(refused) {
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -6,7 +6,7 @@
 // Usage:
 //
 //	handler := ingress.New(ingress.Options{...})
-//	server := &http.Server{Handler: handler, ConnContext: http1.ConnContext}
+//	server := http1.NewServer(http1.ServerOptions{Handler: handler.Serve, ...})
 package ingress
 
 import (
@@ -50,7 +50,7 @@
 // Chooser picks the backend server of an attempt and learns from its result.
 type Chooser interface {
 	Choose(request placement.Request) (placement.Choice, bool)
-	Started(server backend.ID)
+	Started(server backend.ID, now id.Instant)
 	Finished(server backend.ID, result placement.Result, now id.Instant)
 }
 
@@ -126,35 +126,33 @@
 	exclude []backend.ID
 }
 
-// ServeHTTP serves one request.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// Serve returns the answer to one request, or nil for a client that has left.
+func (h *Handler) Serve(ctx context.Context, r *http.Request) *http1.Answer {
 	j := &job{arrived: h.options.Now()}
 	j.record.RequestID = h.options.Dialect.RequestID(r.Header)
 	j.run = h.options.RunOf(j.record.RequestID)
 	j.record.Internal = j.run != nil
-	answer, refused := h.serve(r, j)
+	answer, refused := h.serve(ctx, r, j)
 	j.record.Refused = refused
 	j.record.Took = h.options.Now().Sub(j.arrived)
 	j.record.Left = j.deadline.Sub(h.options.Now())
 	switch {
 	case refused == nil:
 		j.record.Status = answer.Status
+		answer.Header = relay.Forwardable(answer.Header)
 		relay.Strip(answer.Header)
-		relay.WriteAnswer(w, answer)
 	case refused.Reason == refusal.CallerGone:
-		h.options.Recorder.Done(&j.record)
-		// Nobody reads an answer; net/http must not write one of its own.
-		panic(http.ErrAbortHandler)
 	default:
 		if j.run != nil {
 			j.run.CallRefused()
 		}
-		h.refuse(w, j, refused)
+		answer = h.refuse(j, refused)
 	}
 	h.options.Recorder.Done(&j.record)
+	return answer
 }
 
-func (h *Handler) serve(r *http.Request, j *job) (*http1.Answer, *refusal.Error) {
+func (h *Handler) serve(ctx context.Context, r *http.Request, j *job) (*http1.Answer, *refusal.Error) {
 	table := h.options.Table()
 	if table == nil {
 		return nil, refusal.New(refusal.NoConfiguration, refusal.NotRun)
@@ -170,7 +168,7 @@
 	}
 	request, refused := relay.NewRequest(r)
 	if refused != nil {
-		if r.Context().Err() != nil {
+		if ctx.Err() != nil {
 			return nil, refusal.New(refusal.CallerGone, refusal.NotRun)
 		}
 		return nil, refused
@@ -178,14 +176,14 @@
 	h.options.Dialect.SetCaller(request.Header, h.options.Service())
 	j.request = request
 	throttled := h.throttles.of(j.route.Name)
-	if !throttled.Admit(h.options.Now(), rand.Uint64()) {
+	if !throttled.Admit(rand.Uint64()) {
 		return nil, refusal.New(refusal.Busy, refusal.NotRun)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), j.deadline.Sub(h.options.Now())+answerGrace)
+	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(h.options.Now())+answerGrace)
 	defer cancel()
 	answer, refused := h.attempts(ctx, j)
 	if refused == nil {
-		throttled.Done(h.options.Now(), !relay.CallRefused(answer.Header))
+		throttled.Done(!relay.CallRefused(answer.Header))
 	}
 	return answer, refused
 }
@@ -212,19 +210,21 @@
 const restartTime = time.Second
 
 // Leave refuses a request because this daemon is about to end.
-func (h *Handler) Leave(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) Leave(r *http.Request) *http1.Answer {
 	j := &job{arrived: h.options.Now()}
 	j.record.RequestID = h.options.Dialect.RequestID(r.Header)
 	j.record.Refused = refusal.New(refusal.Leaving, refusal.NotRun)
 	j.record.Expected = restartTime
-	w.Header().Set("Connection", "close")
-	h.refuse(w, j, j.record.Refused)
+	answer := h.refuse(j, j.record.Refused)
+	answer.Header.Set("Connection", "close")
 	h.options.Recorder.Done(&j.record)
+	return answer
 }
 
 // refuse answers a request that has no answer of a backend server. The status
 // 503 promises that the request has not run.
-func (h *Handler) refuse(w http.ResponseWriter, j *job, refused *refusal.Error) {
+func (h *Handler) refuse(j *job, refused *refusal.Error) *http1.Answer {
+	header := http.Header{}
 	status := http.StatusBadGateway
 	switch {
 	case refused.Reason == refusal.NoRoute:
@@ -236,11 +236,10 @@
 	case refused.Outcome == refusal.NotRun:
 		status = http.StatusServiceUnavailable
 		after := retry.After(j.record.Expected, rand.Uint64())
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	case refused.Reason == refusal.DeadlinePassed:
 		status = http.StatusGatewayTimeout
 	}
 	j.record.Status = status
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(status)
+	return &http1.Answer{Status: status, Header: header}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -196,7 +196,8 @@
 
 // servers are the listeners of the daemon.
 type servers struct {
-	callers, hops, control, readiness, metrics *http.Server
+	callers                           *http1.Server
+	hops, control, readiness, metrics *http.Server
 
 	beacons net.PacketConn
 }
@@ -216,7 +217,9 @@
 	})
 	go d.gossip.Receive()
 	s := &servers{
-		callers:   d.newServer(d.counted(handler, handler.Leave)),
+		callers: http1.NewServer(http1.ServerOptions{
+			Handler: d.countedCallers(handler), HeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeader: maxHeader,
+		}),
 		hops:      d.newServer(d.counted(hops, hops.Leave)),
 		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
 		readiness: d.newServer(http.HandlerFunc(d.ready)),
@@ -224,7 +227,7 @@
 		beacons:   beacons,
 	}
 	for _, one := range []struct {
-		server  *http.Server
+		server  acceptor
 		address string
 	}{
 		{s.metrics, net.JoinHostPort(d.settings.Load().IP, strconv.Itoa(d.metricsPort))},
@@ -248,19 +251,42 @@
 	}
 }
 
-func (d *Daemon) serve(ctx context.Context, server *http.Server, address string) error {
+// acceptor is a server of any kind.
+type acceptor interface {
+	Serve(listener net.Listener) error
+}
+
+func (d *Daemon) serve(ctx context.Context, server acceptor, address string) error {
 	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if _, plain := server.(*http.Server); plain {
+		listener = http1.Listener{Listener: listener}
+	}
 	go func() {
-		if err := server.Serve(http1.Listener{Listener: listener}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Error("listener ended", zap.String("address", address), zap.Error(err))
 		}
 	}()
 	return nil
 }
 
+// countedCallers is counted for the requests of clients.
+func (d *Daemon) countedCallers(handler *ingress.Handler) http1.Handler {
+	return func(ctx context.Context, r *http.Request) *http1.Answer {
+		if d.ending.Load() {
+			return handler.Leave(r)
+		}
+		d.active.Add(1)
+		defer func() {
+			d.lastWork.Store(int64(d.now()))
+			d.active.Add(-1)
+		}()
+		return handler.Serve(ctx, r)
+	}
+}
+
 // counted keeps the number of requests under way, for the stop.
 func (d *Daemon) counted(next http.Handler, ending http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -49,7 +48,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(stopPoll, deadline.Sub(d.now())))
 	defer cancel()
 	var ending sync.WaitGroup
-	for _, server := range []*http.Server{s.callers, s.hops} {
+	for _, server := range []interface {
+		Shutdown(ctx context.Context) error
+	}{s.callers, s.hops} {
 		ending.Go(func() {
 			if err := server.Shutdown(ctx); err != nil {
 				d.log.Warn("requests in progress at the end of the grace", zap.Error(err))
