--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -82,9 +82,8 @@
 
 // Handler accepts requests.
 type Handler struct {
-	options   Options
-	patience  patienceTable
-	throttles throttleTable
+	options  Options
+	patience patienceTable
 }
 
 // New returns a handler.
@@ -175,17 +174,9 @@
 	}
 	h.options.Dialect.SetCaller(request.Header, h.options.Service())
 	j.request = request
-	throttled := h.throttles.of(j.route.Name)
-	if !throttled.Admit(rand.Uint64()) {
-		return nil, refusal.New(refusal.Busy, refusal.NotRun)
-	}
 	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(h.options.Now())+answerGrace)
 	defer cancel()
-	answer, refused := h.attempts(ctx, j)
-	if refused == nil {
-		throttled.Done(!relay.CallRefused(answer.Header))
-	}
-	return answer, refused
+	return h.attempts(ctx, j)
 }
 
 // plan sets what the route and the client say about the request.
