--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -63,6 +63,9 @@
 	// refusedPass is how long a backend server is passed over whose daemon has
 	// refused for want of room.
 	refusedPass = 20 * time.Millisecond
+	// silentAfter is the time without a report after which a daemon may be cut
+	// off. Daemons report every 300 ms, and single reports are lost.
+	silentAfter = time.Second
 	// reportLife is how long a report of a load counts.
 	reportLife = 2 * time.Second
 )
@@ -264,7 +267,7 @@
 		switch {
 		case excluded(one.server.ID, request.Exclude):
 		case one.report.Leaving && request.Now.Sub(one.report.At) < reportLife:
-		case request.Now.Before(one.passed):
+		case request.Now.Before(one.passed), one.silent(request.Now):
 			passed = append(passed, one)
 		default:
 			fit = append(fit, one)
@@ -276,6 +279,12 @@
 	return fit
 }
 
+// silent reports whether the daemon beside the server has told nothing for a
+// while, though it did before.
+func (s *state) silent(now id.Instant) bool {
+	return s.report.At > 0 && now.Sub(s.report.At) > silentAfter
+}
+
 func excluded(server backend.ID, exclude []backend.ID) bool {
 	for _, other := range exclude {
 		if other == server {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -124,3 +124,19 @@
 	}
 	is.Equal(got, 3)
 }
+
+// Guards against requests that wait for a daemon behind a cut, whose link gives
+// no reset, while others answer.
+func TestSilentDaemonIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	c.SetServers([]backend.Server{server("cut", "reduit"), server("slow", "ebene")})
+	c.Report(Report{Server: "cut", Slots: 10, Service: 20 * time.Millisecond, At: now})
+	now = now.Add(silentAfter + 1)
+	c.Report(Report{Server: "slow", Slots: 10, Service: 200 * time.Millisecond, At: now})
+	is.Equal(choose(t, c, Request{Now: now}, 20)["slow"], 20)
+	choice, found := c.Choose(Request{Service: service, Now: now, Exclude: []backend.ID{"slow"}})
+	is.True(found)
+	is.Equal(choice.Server.ID, backend.ID("cut"))
+}
--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -12,7 +12,7 @@
 // Guards against a reason that operators meet and cannot look up, and against a
 // page whose status or remedy differs from what the daemon says.
 func TestOperationsListsEveryReason(t *testing.T) {
-	data, err := os.ReadFile("operations.md")
+	data, err := os.ReadFile("OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -13,7 +13,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -85,6 +88,9 @@
 	// Matches reports whether an answer belongs to the request, by the headers
 	// of both. Nil accepts every answer.
 	Matches func(request, answer http.Header) bool
+	// SendTimeout bounds how long sent bytes may stay without acknowledgement.
+	// After it the connection counts as broken, which finds links that are cut.
+	SendTimeout time.Duration
 	// Dialled is called after each new connection, if set.
 	Dialled func(address string)
 }
@@ -110,11 +116,27 @@
 
 // NewPool returns an empty pool.
 func NewPool(options PoolOptions) *Pool {
-	return &Pool{
+	pool := &Pool{
 		options: options,
 		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1},
 		idle:    map[string][]*clientConn{},
 	}
+	if options.SendTimeout > 0 {
+		pool.dialer.Control = sendTimeout(options.SendTimeout)
+	}
+	return pool
+}
+
+// sendTimeout sets the time for which sent bytes may stay without
+// acknowledgement.
+func sendTimeout(span time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(descriptor uintptr) {
+			failed = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(span.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
 }
 
 // Do sends the request and returns the whole answer. The error is a *Failure.
@@ -131,6 +153,10 @@
 		p.keep(conn)
 	}
 	if err != nil {
+		if p.options.SendTimeout > 0 && !errors.Is(ctx.Err(), context.Canceled) {
+			// The other connections to the address may have gone silent as well.
+			p.Forget(address)
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -53,6 +53,8 @@
 	Pool    *http1.Pool
 	Dialect Dialect
 	Now     func() id.Instant
+	// Refused is told of each request that got no answer here, if set.
+	Refused func(requestID string, call relay.Call, refused *refusal.Error)
 }
 
 // Server passes requests to the backend server beside this daemon.
@@ -155,6 +157,14 @@
 // Send admits the request, sends it to the backend server and returns the whole
 // answer.
 func (s *Server) Send(ctx context.Context, call relay.Call, request *http1.Request) (*http1.Answer, *refusal.Error) {
+	answer, refused := s.send(ctx, call, request)
+	if refused != nil && s.options.Refused != nil {
+		s.options.Refused(s.options.Dialect.RequestID(request.Header), call, refused)
+	}
+	return answer, refused
+}
+
+func (s *Server) send(ctx context.Context, call relay.Call, request *http1.Request) (*http1.Answer, *refusal.Error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Left+answerGrace)
 	defer cancel()
 	now := s.options.Now()
--- /dev/null
+++ b/io/server/server_test.go
@@ -0,0 +1,161 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/relay"
+)
+
+// dialect is a small stand-in for the headers of the platform.
+type dialect struct{}
+
+func (dialect) RequestID(header http.Header) string { return header.Get("Id") }
+
+func (dialect) Prepare(header http.Header, left time.Duration, server backend.ID) {
+	header.Set("Left", left.String())
+	header.Set("Server-Id", string(server))
+}
+
+func (dialect) Genuine(header http.Header) bool { return header.Get("Stamp") != "" }
+
+func (dialect) Rejected(status int, header http.Header) bool {
+	return header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest
+}
+
+func (dialect) Instance(http.Header) backend.ID { return "" }
+
+func newServer(t *testing.T, handler http.HandlerFunc) *Server {
+	t.Helper()
+	behind := httptest.NewServer(handler)
+	t.Cleanup(behind.Close)
+	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleLimit: time.Second, MaxBody: 1 << 20})
+	t.Cleanup(pool.Clear)
+	start := time.Now()
+	s := New(Options{
+		Address: strings.TrimPrefix(behind.URL, "http://"), Pool: pool, Dialect: dialect{},
+		Now: func() id.Instant { return id.Instant(time.Since(start)) },
+	})
+	s.SetCurrent(backend.Server{ID: "i-1", Slots: 1}, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Expire(ctx)
+	return s
+}
+
+func call() relay.Call {
+	return relay.Call{Server: "i-1", Left: time.Second, Aim: 500 * time.Millisecond}
+}
+
+func send(s *Server, c relay.Call) (*http1.Answer, *refusal.Error) {
+	return s.Send(context.Background(), c, &http1.Request{Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {"1"}}})
+}
+
+// Guards against answers of a backend server being taken for more or less than
+// they prove.
+func TestClassify(t *testing.T) {
+	tests := []struct {
+		name    string
+		status  int
+		header  string
+		reason  refusal.Reason
+		outcome refusal.Outcome
+	}{
+		{"served", 200, "Stamp", refusal.None, refusal.Ran},
+		{"own failure", 500, "Stamp", refusal.None, refusal.Ran},
+		{"shed", 503, "Not-Run", refusal.BackendShed, refusal.NotRun},
+		{"failure without proof", 503, "", refusal.BackendBroken, refusal.Unknown},
+		{"foreign success", 200, "", refusal.BackendBroken, refusal.Unknown},
+		{"another server", 421, "", refusal.WrongIdentity, refusal.NotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				if test.header != "" {
+					w.Header().Set(test.header, "1")
+				}
+				w.WriteHeader(test.status)
+			})
+			answer, refused := send(s, call())
+			if test.reason == refusal.None {
+				is.True(refused == nil)
+				is.Equal(answer.Status, test.status)
+				return
+			}
+			is.Equal(refused.Reason, test.reason)
+			is.Equal(refused.Outcome, test.outcome)
+		})
+	}
+}
+
+// Guards against requests that reach a backend server which leaves, was
+// replaced, or has no free slot for a request that does not wait.
+func TestRefusedBeforeArrival(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 9), make(chan struct{})
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		w.Header().Set("Stamp", "1")
+	})
+	first := make(chan *refusal.Error, 1)
+	go func() {
+		_, refused := send(s, call())
+		first <- refused
+	}()
+	<-arrived
+	eager := call()
+	eager.NoWait = true
+	_, refused := send(s, eager)
+	is.Equal(refused.Reason, refusal.QueueDeadline)
+	waiting := make(chan *refusal.Error, 1)
+	go func() {
+		_, refused := send(s, call())
+		waiting <- refused
+	}()
+	for s.Load().Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The queued request must not reach the server that took the address.
+	s.SetCurrent(backend.Server{ID: "i-2", Slots: 1}, true)
+	close(release)
+	is.True(<-first == nil)
+	is.Equal((<-waiting).Reason, refusal.NoEndpoint)
+	s.SetCurrent(backend.Server{ID: "i-1", Slots: 1, State: backend.Draining}, true)
+	_, refused = send(s, call())
+	is.Equal(refused.Reason, refusal.Leaving)
+	is.Equal(refused.Outcome, refusal.NotRun)
+	s.SetCurrent(backend.Server{}, false)
+	is.True(s.Load().Leaving)
+	is.Equal(len(arrived), 0)
+}
+
+// Guards against a failed run being repeated when a call of it found no room:
+// the repeat would find none either.
+func TestCallRefusedMarksTheAnswer(t *testing.T) {
+	is := is.New(t)
+	var s *Server
+	s = newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if run := s.RunOf(r.Header.Get("Id") + ".1"); run != nil {
+			run.CallRefused()
+		}
+		w.Header().Set("Stamp", "1")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	answer, refused := send(s, call())
+	is.True(refused == nil)
+	is.True(relay.CallRefused(answer.Header))
+	is.True(s.RunOf("1.1") == nil)
+	is.True(s.RunOf("1") == nil)
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -53,10 +53,12 @@
 // followStore keeps the copy of the store current.
 func (d *Daemon) followStore(ctx context.Context) {
 	backoff := firstBackoff
-	synced, lost := d.mirror.AsOf() > 0, false
+	synced, lost := false, false
 	reading := true
 	for ctx.Err() == nil {
-		if needed := d.mirror.AsOf() == 0 || d.members.reads(d.settings.Load().Domain); needed != reading {
+		stale := d.stale.Swap(false)
+		synced = synced && !stale
+		if needed := stale || d.mirror.AsOf() == 0 || d.members.reads(d.settings.Load().Domain); needed != reading {
 			reading = needed
 			d.log.Info("store reader", zap.Bool("reading", reading), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 		}
@@ -180,6 +182,7 @@
 // tick tells the load to other daemons and does the housekeeping.
 func (d *Daemon) tick(ctx context.Context) {
 	next := time.Now().Add(housekeepingInterval)
+	pauses := newPauseClock()
 	for round := 0; ctx.Err() == nil; round++ {
 		sleep(ctx, beaconInterval)
 		if round%farBeacons == 0 {
@@ -188,6 +191,10 @@
 			d.gossip.Send(d.members.near(d.settings.Load().Domain))
 		}
 		d.state.expire()
+		d.report(d.local.Load())
+		if paused := pauses.since(); paused > longestPause {
+			d.wake(paused)
+		}
 		if time.Now().After(next) {
 			next = time.Now().Add(housekeepingInterval)
 			d.hops.Expire()
--- a/sidecar/requestlog.go
+++ b/sidecar/requestlog.go
@@ -6,8 +6,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/ingress"
+	"marjoramsaddle/io/relay"
 	"marjoramsaddle/io/telemetry"
 )
 
@@ -17,6 +19,9 @@
 	// the rush; failures are what operators look for.
 	servedLines = 20
 	failedLines = 200
+	// offerLines bounds the lines a second on offers of other daemons that got
+	// no answer here; in the rush most of them only ask for a free slot.
+	offerLines = 50
 	// burstSeconds is how many seconds' worth of lines may come at once.
 	burstSeconds = 2
 )
@@ -27,6 +32,7 @@
 	metrics    *telemetry.Metrics
 	served     *rate.Limiter
 	failed     *rate.Limiter
+	offers     *rate.Limiter
 	suppressed atomic.Int64
 }
 
@@ -35,6 +41,7 @@
 		log: log, metrics: metrics,
 		served: rate.NewLimiter(servedLines, burstSeconds*servedLines),
 		failed: rate.NewLimiter(failedLines, burstSeconds*failedLines),
+		offers: rate.NewLimiter(offerLines, burstSeconds*offerLines),
 	}
 }
 
@@ -69,6 +76,20 @@
 	l.log.Warn("not answered", fields...)
 }
 
+// Refused logs an offer that got no answer from the backend server here, with
+// the load that decided.
+func (l *requestLog) Refused(requestID string, call relay.Call, refused *refusal.Error, load placement.Report) {
+	if !l.offers.Allow() {
+		l.suppressed.Add(1)
+		return
+	}
+	l.log.Info("offer not served", zap.String("request_id", requestID), zap.String("server", string(call.Server)),
+		zap.String("reason", refused.Reason.String()), zap.String("outcome", refused.Outcome.String()),
+		zap.Bool("no_wait", call.NoWait), zap.Duration("left", call.Left), zap.Int("running", load.Running),
+		zap.Int("queued", load.Queued), zap.Int("slots", load.Slots), zap.Duration("service_time", load.Service),
+		zap.NamedError("cause", refused.Cause))
+}
+
 // Retry counts an offer after a failed one.
 func (l *requestLog) Retry(reason refusal.Reason) { l.metrics.Retry(reason) }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -28,6 +28,7 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
+	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/core/route"
 	"marjoramsaddle/io/control"
@@ -43,6 +44,9 @@
 	// hopDialTimeout bounds a connection to another daemon. Failure domains are
 	// a few milliseconds apart; a host that is cut off answers nothing.
 	hopDialTimeout = 250 * time.Millisecond
+	// hopSendTimeout finds links that are cut. A lost packet is sent again after
+	// about 200 ms, and once more 400 ms later.
+	hopSendTimeout = 650 * time.Millisecond
 	// backendDialTimeout bounds a connection to the backend server of this host.
 	backendDialTimeout = 500 * time.Millisecond
 	// hopIdle is how long unused connections to other daemons are kept. It lies
@@ -92,6 +96,8 @@
 	// lastRead is when this daemon itself last heard from the store.
 	lastRead atomic.Int64
 	stopping atomic.Bool
+	// stale is set when the store has to be listed again.
+	stale atomic.Bool
 	// ending is set when new requests are refused before the end.
 	ending   atomic.Bool
 	sequence atomic.Uint64
@@ -121,7 +127,7 @@
 	d.requests = newRequestLog(log.Named("request"), metrics)
 	headers := platform.Headers{}
 	d.hops = http1.NewPool(http1.PoolOptions{
-		DialTimeout: hopDialTimeout, IdleLimit: hopIdle, MaxBody: maxAnswer,
+		DialTimeout: hopDialTimeout, IdleLimit: hopIdle, MaxBody: maxAnswer, SendTimeout: hopSendTimeout,
 	})
 	d.backend = http1.NewPool(http1.PoolOptions{
 		DialTimeout: backendDialTimeout, IdleLimit: backendIdle, MaxBody: maxAnswer,
@@ -134,7 +140,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("hop address: %w", err)
 	}
-	d.local = server.New(server.Options{Address: settings.BackendAddress, Pool: d.backend, Dialect: headers, Now: d.now})
+	d.local = server.New(server.Options{
+		Address: settings.BackendAddress, Pool: d.backend, Dialect: headers, Now: d.now,
+		Refused: func(requestID string, call relay.Call, refused *refusal.Error) {
+			d.requests.Refused(requestID, call, refused, d.local.Load())
+		},
+	})
 	d.relay = relay.NewClient(d.hops, hopPort, d.report)
 	d.peers = control.NewClient(d.hops)
 	d.members = newMembers(settings, d.now)
