--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -206,10 +206,8 @@
 
 // beacon returns what this daemon tells of itself.
 func (d *Daemon) beacon() control.Beacon {
-	load := d.local.Load()
-	load.Leaving = load.Leaving || d.stopping.Load()
 	return control.Beacon{
-		Domain: d.settings.Load().Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Load: load,
+		Domain: d.settings.Load().Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Load: d.local.Load(),
 		Boot: uint64(d.started.UnixNano()), Sequence: d.sequence.Add(1),
 	}
 }
@@ -279,7 +277,7 @@
 		age := now.Sub(beacon.Received)
 		others = append(others, mirror.Daemon{
 			Address: beacon.Address, Domain: beacon.Domain,
-			Fresh: age < beaconLife && beacon.ReadAge+age < freshAge && !beacon.Load.Leaving,
+			Fresh: age < beaconLife && beacon.ReadAge+age < freshAge,
 		})
 	}
 	return mirror.Reads(mirror.Daemon{Address: m.self, Domain: domain}, others)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -102,7 +102,8 @@
 	ending   atomic.Bool
 	sequence atomic.Uint64
 	active   atomic.Int64
-	lastWork atomic.Int64
+	// lastClient is when a client last sent a request.
+	lastClient atomic.Int64
 
 	budgetsMu sync.Mutex
 	budgets   map[id.Service]*retry.Budget
@@ -231,7 +232,7 @@
 		callers: http1.NewServer(http1.ServerOptions{
 			Handler: d.countedCallers(handler), HeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeader: maxHeader,
 		}),
-		hops:      d.newServer(d.counted(hops, hops.Leave)),
+		hops:      d.newServer(d.countedHops(hops)),
 		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
 		readiness: d.newServer(http.HandlerFunc(d.ready)),
 		metrics:   d.newServer(d.metrics.Handler()),
@@ -283,34 +284,33 @@
 	return nil
 }
 
-// countedCallers is counted for the requests of clients.
+// countedCallers keeps the number of requests of clients under way, for the
+// stop. Near the end only calls of running requests are served.
 func (d *Daemon) countedCallers(handler *ingress.Handler) http1.Handler {
 	return func(ctx context.Context, r *http.Request) *http1.Answer {
-		if d.ending.Load() {
+		internal := d.runOf(platform.Headers{}.RequestID(r.Header)) != nil
+		if d.ending.Load() && !internal {
 			return handler.Leave(r)
 		}
+		if !internal {
+			d.lastClient.Store(int64(d.now()))
+		}
 		d.active.Add(1)
-		defer func() {
-			d.lastWork.Store(int64(d.now()))
-			d.active.Add(-1)
-		}()
+		defer d.active.Add(-1)
 		return handler.Serve(ctx, r)
 	}
 }
 
-// counted keeps the number of requests under way, for the stop.
-func (d *Daemon) counted(next http.Handler, ending http.HandlerFunc) http.Handler {
+// countedHops is countedCallers for the requests of other daemons.
+func (d *Daemon) countedHops(handler *relay.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.ending.Load() {
-			ending(w, r)
+			handler.Leave(w, r)
 			return
 		}
 		d.active.Add(1)
-		defer func() {
-			d.lastWork.Store(int64(d.now()))
-			d.active.Add(-1)
-		}()
-		next.ServeHTTP(w, r)
+		defer d.active.Add(-1)
+		handler.ServeHTTP(w, r)
 	})
 }
 
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -14,7 +14,7 @@
 	// readinessNotice is how long clients may still send after readiness has
 	// failed: the platform asks once a second and acts after two misses.
 	readinessNotice = 2500 * time.Millisecond
-	// quietPeriod without a request shows that senders have noticed.
+	// quietPeriod without a request shows that clients have noticed.
 	quietPeriod = 300 * time.Millisecond
 	// acceptShare is the part of the grace in which new requests are served. The
 	// rest is for those in progress, whose timeouts are about a second.
@@ -25,21 +25,22 @@
 	stopPoll = 20 * time.Millisecond
 )
 
-// stop fails readiness, tells the other daemons, serves until nobody sends any
-// more or half of the grace has passed, and then refuses new requests while
-// those in progress end.
+// stop fails readiness and serves until clients send no more, or until their
+// part of the grace has passed. Other daemons are told only then, so that the
+// backend server works until shortly before the end. From there on new requests
+// are refused while those in progress end.
 func (d *Daemon) stop(s *servers) {
 	began := d.now()
 	grace := d.settings.Load().StopGrace
 	accepted := began.Add(time.Duration(acceptShare * float64(grace)))
 	deadline := began.Add(grace - stopMargin)
 	d.stopping.Store(true)
-	d.local.SetLeaving()
-	d.gossip.Send(d.members.addresses())
 	d.log.Info("stopping", zap.Int64("requests", d.active.Load()))
 	for d.now().Before(accepted) && !d.quiet(began) {
 		time.Sleep(stopPoll)
 	}
+	d.local.SetLeaving()
+	d.gossip.Send(d.members.addresses())
 	d.ending.Store(true)
 	d.log.Info("refusing new requests", zap.Int64("requests", d.active.Load()))
 	for d.now().Before(deadline) && d.active.Load() > 0 {
@@ -61,9 +62,8 @@
 	d.log.Info("stopped", zap.Int64("requests", d.active.Load()), zap.Duration("took", d.now().Sub(began)))
 }
 
-// quiet reports whether senders have noticed the stop and all work is done.
+// quiet reports whether clients have noticed the stop.
 func (d *Daemon) quiet(began id.Instant) bool {
 	now := d.now()
-	return now.Sub(began) >= readinessNotice && d.active.Load() == 0 &&
-		now.Sub(id.Instant(d.lastWork.Load())) >= quietPeriod
+	return now.Sub(began) >= readinessNotice && now.Sub(id.Instant(d.lastClient.Load())) >= quietPeriod
 }
