--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,6 +21,10 @@
 	changesPath = "/changes"
 	// longestWait bounds how long a call for changes waits.
 	longestWait = 10 * time.Second
+	// servedAtOnce bounds the transfers of changes at a time. Hosts have links of
+	// a few Mbit/s; many transfers at once would all be slow, while those who are
+	// turned away soon find a neighbour that has the changes by then.
+	servedAtOnce = 2
 	// ageHeader carries how long ago the copy was known to be current.
 	ageHeader = "Marjoramsaddle-Store-Age-Ms"
 )
@@ -29,11 +34,13 @@
 	mirror *mirror.Mirror
 	// age returns how long ago the copy was known to be current.
 	age func() time.Duration
+	// transfers holds a place for each transfer under way.
+	transfers chan struct{}
 }
 
 // NewHandler returns a handler for the copy.
 func NewHandler(copied *mirror.Mirror, age func() time.Duration) *Handler {
-	return &Handler{mirror: copied, age: age}
+	return &Handler{mirror: copied, age: age, transfers: make(chan struct{}, servedAtOnce)}
 }
 
 // ServeHTTP answers with the changes behind a revision, at once or at the
@@ -54,6 +61,15 @@
 		return
 	}
 	changes := h.await(r.Context(), mirror.Revision(after), min(longestWait, time.Duration(wait)*time.Millisecond))
+	if len(changes.Events) > 0 {
+		select {
+		case h.transfers <- struct{}{}:
+			defer func() { <-h.transfers }()
+		default:
+			http.Error(w, "busy with other transfers; ask another daemon", http.StatusServiceUnavailable)
+			return
+		}
+	}
 	w.Header().Set(ageHeader, strconv.FormatInt(h.age().Milliseconds(), 10))
 	// A failed write shows at the reader, which calls again.
 	_ = encodeChanges(w, changes)
@@ -111,6 +127,9 @@
 	}
 }
 
+// ErrBusy says that a daemon transfers changes to others already.
+var ErrBusy = errors.New("control: the daemon is busy: ask another one")
+
 // Client fetches changes from other daemons.
 type Client struct{ pool *http1.Pool }
 
@@ -125,6 +144,9 @@
 	if err != nil {
 		return mirror.Changes{}, 0, err
 	}
+	if answer.Status == http.StatusServiceUnavailable {
+		return mirror.Changes{}, 0, ErrBusy
+	}
 	if answer.Status != http.StatusOK {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s answered %d", address, answer.Status)
 	}
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -91,3 +92,25 @@
 	is.NoErr(err)
 	is.Equal(answer.Status, http.StatusBadRequest)
 }
+
+// Guards against a whole fleet fetching a large configuration from the first
+// daemon that has it, over a link of a few Mbit/s, so that all are late.
+func TestTransfersAreBounded(t *testing.T) {
+	is := is.New(t)
+	source := mirror.New()
+	source.Replace([]mirror.Item{{Key: "a", Revision: 3}}, 4)
+	handler := NewHandler(source, func() time.Duration { return 0 })
+	for range servedAtOnce {
+		handler.transfers <- struct{}{}
+	}
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleLimit: time.Second, MaxBody: 1 << 20})
+	defer pool.Clear()
+	address := strings.TrimPrefix(server.URL, "http://")
+	_, _, err := NewClient(pool).Changes(context.Background(), address, 0, 0)
+	is.True(errors.Is(err, ErrBusy))
+	<-handler.transfers
+	_, _, err = NewClient(pool).Changes(context.Background(), address, 0, 0)
+	is.NoErr(err)
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -38,7 +38,7 @@
 	fetchInterval = 20 * time.Millisecond
 	// nearGrace is how long changes are awaited from the own failure domain
 	// before they are fetched from another one.
-	nearGrace = 150 * time.Millisecond
+	nearGrace = 300 * time.Millisecond
 	// freshAge is the age of a daemon's news of the store up to which others
 	// leave the reading to it: a watch that hears nothing, and the way there.
 	freshAge = watchWait + 300*time.Millisecond
@@ -46,8 +46,9 @@
 	beaconLife = 2 * farBeacons * beaconInterval
 	// readCheck is how often a daemon that does not read looks whether it has to.
 	readCheck = 50 * time.Millisecond
-	// peerTimeout bounds a call for changes to another daemon.
-	peerTimeout = 500 * time.Millisecond
+	// peerTimeout bounds a call for changes to another daemon. A megabyte of
+	// configuration, compressed, takes a slow link some hundred milliseconds.
+	peerTimeout = 1500 * time.Millisecond
 )
 
 // followStore keeps the copy of the store current.
@@ -149,7 +150,11 @@
 		if !found {
 			continue
 		}
-		if err := d.fetch(ctx, address); err != nil {
+		err := d.fetch(ctx, address)
+		if errors.Is(err, control.ErrBusy) {
+			continue
+		}
+		if err != nil {
 			d.members.forget(address)
 			d.log.Info("peer lost", zap.String("peer", address), zap.Error(err))
 		}
@@ -238,8 +243,7 @@
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	near, far := "", ""
-	nearest, farthest := asOf, asOf
+	var near, far []string
 	first := true
 	for _, beacon := range m.heard {
 		same := beacon.Domain == domain
@@ -247,24 +251,32 @@
 			first = false
 		}
 		switch {
-		case same && beacon.Revision > nearest:
-			nearest, near = beacon.Revision, beacon.Address
-		case !same && beacon.Revision > farthest:
-			farthest, far = beacon.Revision, beacon.Address
+		case beacon.Revision <= asOf:
+		case same:
+			near = append(near, beacon.Address)
+		default:
+			far = append(far, beacon.Address)
 		}
 	}
-	if near != "" {
+	if len(near) > 0 || len(far) == 0 {
 		m.behindSince = 0
-		return near, true
-	}
-	if far == "" {
-		m.behindSince = 0
-		return "", false
+		return anyOf(near)
 	}
 	if m.behindSince == 0 {
 		m.behindSince = now
 	}
-	return far, first || asOf == 0 || now.Sub(m.behindSince) >= nearGrace
+	if !first && asOf > 0 && now.Sub(m.behindSince) < nearGrace {
+		return "", false
+	}
+	return anyOf(far)
+}
+
+// anyOf draws one of the addresses, so that not all daemons ask the same one.
+func anyOf(addresses []string) (string, bool) {
+	if len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[rand.IntN(len(addresses))], true
 }
 
 // reads reports whether this daemon has to read the store itself.
