Pass the metrics port on and satisfy the linter

Cause: the linter showed that the port of the metrics was never used, so they were served at a random one. Ruled out: nothing.

--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -95,8 +95,8 @@
 // together, and against nobody reading it when the first ones are cut off.
 func TestReads(t *testing.T) {
 	fleet := func(stale map[int]bool) int {
-		var all []Daemon
-		for i := range 76 {
+		all := make([]Daemon, 0, 76)
+		for i := range cap(all) {
 			all = append(all, Daemon{
 				Address: fmt.Sprintf("10.%d.0.%d:80", i%3, i), Domain: id.Domain(fmt.Sprint("domain-", i%3)), Fresh: !stale[i],
 			})
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -117,7 +117,7 @@
 				is.Equal(string(got.Body), "body")
 				return
 			}
-			var failed *Failure
+			var failed *SendError
 			is.True(errors.As(err, &failed))
 			is.True(failed.Sent)
 		})
@@ -149,7 +149,7 @@
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
 	_, err = newPool(t, nil).Do(context.Background(), address, get("1"))
-	var failed *Failure
+	var failed *SendError
 	is.True(errors.As(err, &failed))
 	is.True(!failed.Sent)
 }
@@ -291,6 +291,7 @@
 	for _, want := range []string{"/1 ", "/2 body", "/3 more"} {
 		response, err := http.ReadResponse(reader, nil)
 		is.NoErr(err)
+		defer func() { _ = response.Body.Close() }()
 		body, err := io.ReadAll(response.Body)
 		is.NoErr(err)
 		is.Equal(string(body), want)
@@ -354,6 +355,7 @@
 	close(release)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.NoErr(<-ended)
 }
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -36,8 +36,8 @@
 // errOtherRequest says that only answers to other requests arrived.
 var errOtherRequest = errors.New("http1: the answers belong to other requests")
 
-// Failure is a request without a complete answer.
-type Failure struct {
+// SendError is a request without a complete answer.
+type SendError struct {
 	// Sent is set when a byte of the request may have reached the peer.
 	Sent bool
 	// Reused is set when the connection had served other requests before.
@@ -46,7 +46,7 @@
 }
 
 // Error returns what was sent and the cause.
-func (f *Failure) Error() string {
+func (f *SendError) Error() string {
 	if f.Sent {
 		return "the request was sent and has no complete answer: " + f.Cause.Error()
 	}
@@ -54,7 +54,7 @@
 }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Cause }
+func (f *SendError) Unwrap() error { return f.Cause }
 
 // Request is sent as it stands.
 type Request struct {
@@ -139,11 +139,11 @@
 	}
 }
 
-// Do sends the request and returns the whole answer. The error is a *Failure.
+// Do sends the request and returns the whole answer. The error is a *SendError.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
 	conn, err := p.connection(ctx, address)
 	if err != nil {
-		return nil, &Failure{Cause: err}
+		return nil, &SendError{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
 	answer, reusable, err := p.exchange(conn, request)
@@ -160,7 +160,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &Failure{Sent: true, Reused: conn.used, Cause: err}
+		return nil, &SendError{Sent: true, Reused: conn.used, Cause: err}
 	}
 	return answer, nil
 }
@@ -175,7 +175,7 @@
 		go func() { written <- conn.send(wire) }()
 	}
 	for skipped := 0; ; skipped++ {
-		response, err := http.ReadResponse(conn.reader, wire)
+		response, err := http.ReadResponse(conn.reader, wire) //nolint:bodyclose // readBody closes it.
 		if err != nil {
 			return nil, false, err
 		}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -76,7 +76,7 @@
 // failure says what is known of a request that has no answer.
 func failure(ctx context.Context, err error) *refusal.Error {
 	outcome, reason := refusal.Unknown, refusal.HopBroken
-	var failed *http1.Failure
+	var failed *http1.SendError
 	if errors.As(err, &failed) && !failed.Sent {
 		outcome, reason = refusal.NotRun, refusal.ConnectFailed
 	}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -238,7 +238,7 @@
 
 func failure(ctx context.Context, err error) *refusal.Error {
 	outcome, reason := refusal.Unknown, refusal.BackendBroken
-	var failed *http1.Failure
+	var failed *http1.SendError
 	if errors.As(err, &failed) && !failed.Sent {
 		outcome, reason = refusal.NotRun, refusal.ConnectFailed
 	}
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -136,7 +136,9 @@
 	}
 	for _, h := range f.hosts {
 		if h.stop != nil {
-			<-h.ended
+			if err := <-h.ended; err != nil {
+				f.t.Errorf("daemon %s: %v", h.ip, err)
+			}
 		}
 	}
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -116,13 +116,14 @@
 		return nil, err
 	}
 	d := &Daemon{
-		log:     log.Named("sidecar"),
-		metrics: metrics,
-		started: time.Now(),
-		mirror:  mirror.New(),
-		store:   platform.NewStore(settings.StoreAddress),
-		chooser: placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
-		budgets: map[id.Service]*retry.Budget{},
+		log:         log.Named("sidecar"),
+		metrics:     metrics,
+		metricsPort: metricsPort,
+		started:     time.Now(),
+		mirror:      mirror.New(),
+		store:       platform.NewStore(settings.StoreAddress),
+		chooser:     placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
+		budgets:     map[id.Service]*retry.Budget{},
 	}
 	d.settings.Store(&settings)
 	d.requests = newRequestLog(log.Named("request"), metrics)
@@ -180,10 +181,12 @@
 
 // runOf returns the run on this host that makes the request, or nil.
 func (d *Daemon) runOf(requestID string) ingress.Run {
-	if run := d.local.RunOf(requestID); run != nil {
-		return run
+	run := d.local.RunOf(requestID)
+	if run == nil {
+		// A nil *server.Run would make an interface that is not nil.
+		return nil
 	}
-	return nil
+	return run
 }
 
 // Run serves until the context ends, then stops gracefully.
