Treat clients that come back like others

Cause: a client was taken for one that had come back when it stated less than 0.97 of the greatest patience seen on its route. Ruled out: a lower bound; what a returning client has left overlaps with what others state. Conclusion: keep one rule for all; nothing on the wire tells a returning client.

--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -113,7 +113,7 @@
 	j.record.Attempts++
 	j.record.Server, j.record.Expected = choice.Server.ID, choice.Expected
 	call := relay.Call{
-		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority, Returned: j.returned,
+		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
 		Aim: j.route.Aim, NoWait: number <= eagerOffers,
 	}
 	h.options.Chooser.Started(choice.Server.ID, now)
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -81,10 +81,7 @@
 }
 
 // Handler accepts requests.
-type Handler struct {
-	options  Options
-	patience patienceTable
-}
+type Handler struct{ options Options }
 
 // New returns a handler.
 func New(options Options) *Handler { return &Handler{options: options} }
@@ -104,7 +101,6 @@
 	Refused  *refusal.Error
 	Took     time.Duration
 	Left     time.Duration
-	Returned bool
 	Internal bool
 	Aim      time.Duration
 	Expected time.Duration
@@ -117,8 +113,6 @@
 	request  *http1.Request
 	arrived  id.Instant
 	deadline id.Instant
-	// returned is set for a client that was refused before.
-	returned bool
 	// run makes this request; nil for a request of a client.
 	run     Run
 	record  Record
@@ -185,16 +179,12 @@
 	if !known {
 		patience = defaultPatience
 	}
-	if j.run == nil {
-		j.returned = h.patience.returned(j.route.Name, patience)
-	}
 	if timeout := j.route.Timeout; timeout > 0 {
 		patience = min(patience, timeout)
 	}
 	j.deadline = j.arrived.Add(patience)
 	j.service = j.route.Next()
 	j.record.Route, j.record.Service, j.record.Aim = j.route.Name, j.service, j.route.Aim
-	j.record.Returned = j.returned
 }
 
 // restartTime is how long a daemon takes to be back after its end.
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -37,7 +37,6 @@
 	headerLeft        = headerPrefix + "Left-Us"
 	headerRank        = headerPrefix + "Rank"
 	headerAim         = headerPrefix + "Aim-Us"
-	headerReturned    = headerPrefix + "Returned"
 	headerCallRefused = headerPrefix + "Call-Refused"
 	headerNoWait      = headerPrefix + "No-Wait"
 	headerOutcome     = headerPrefix + "Outcome"
@@ -57,8 +56,6 @@
 	Left time.Duration
 	// Rank is the priority; zero is the most urgent.
 	Rank int
-	// Returned is set for a client that was refused before.
-	Returned bool
 	// Aim is the time within which an answer has its full worth.
 	Aim time.Duration
 	// NoWait refuses the request when no slot is free.
@@ -79,9 +76,6 @@
 	if c.NoWait {
 		header.Set(headerNoWait, flagSet)
 	}
-	if c.Returned {
-		header.Set(headerReturned, flagSet)
-	}
 }
 
 var errCallHeaders = errors.New("relay: the headers of the call are missing or wrong")
@@ -102,8 +96,7 @@
 	return Call{
 		Server: backend.ID(header.Get(headerServer)), Rank: rank,
 		Left: spans[0], Aim: spans[1],
-		Returned: header.Get(headerReturned) == flagSet,
-		NoWait:   header.Get(headerNoWait) == flagSet,
+		NoWait: header.Get(headerNoWait) == flagSet,
 	}, nil
 }
 
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -256,10 +256,7 @@
 	s.mu.Lock()
 	service := s.service.mean
 	s.mu.Unlock()
-	wait := admission.Wait{
-		Aim: call.Aim, Left: call.Left, Service: service,
-		Returned: call.Returned,
-	}
+	wait := admission.Wait{Aim: call.Aim, Left: call.Left, Service: service}
 	return wait.Longest()
 }
 
