Drop what is decoded and not used, and keep the methods of members together

Cause: the diff read as a newcomer: settings and limits that nothing uses, and methods of members among those that follow the store. Ruled out: changes of behaviour.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -61,17 +61,13 @@
 
 // Service describes the backend servers of one service.
 type Service struct {
-	HealthPath string
 	// Connections is the number of connections that a backend server accepts.
 	Connections int
 }
 
-// Limits bound what a client may send, and how long it may take.
+// Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Error says which part of a configuration is wrong.
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -43,7 +43,6 @@
 	Prepare(header http.Header, left time.Duration, server backend.ID)
 	Genuine(header http.Header) bool
 	Rejected(status int, header http.Header) bool
-	Instance(header http.Header) backend.ID
 	RequestID(header http.Header) string
 }
 
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -33,8 +33,6 @@
 	return header.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest
 }
 
-func (dialect) Instance(http.Header) backend.ID { return "" }
-
 func newServer(t *testing.T, handler http.HandlerFunc) *Server {
 	t.Helper()
 	behind := httptest.NewServer(handler)
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -110,7 +110,7 @@
 		CallerAddress: f.address(h.ip, 0), HopAddress: f.address(h.ip, 1), ControlAddress: f.address(h.ip, 2),
 		ReadinessAddress: f.address(h.ip, 3), BackendAddress: f.address(h.ip, 4),
 		StoreAddress: h.store, Seeds: []string{f.address(f.hosts[0].ip, 2)},
-		StopGrace: 6 * time.Second, DrainLimit: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
+		StopGrace: 6 * time.Second, RetryRatio: 0.2,
 	}
 }
 
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
@@ -235,73 +234,6 @@
 	d.log.Debug("beacon failed", zap.Error(err))
 }
 
-// ahead returns a daemon with a newer copy than the given revision. A daemon of
-// another failure domain is asked only by the first daemon of this one, or when
-// nobody here has had the changes for a while: the links between failure
-// domains are the scarce ones.
-func (m *members) ahead(asOf mirror.Revision, domain id.Domain) (string, bool) {
-	now := m.now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var near, far []string
-	first := true
-	for _, beacon := range m.heard {
-		same := beacon.Domain == domain
-		if same && now.Sub(beacon.Received) < beaconLife && beacon.Address < m.self {
-			first = false
-		}
-		switch {
-		case beacon.Revision <= asOf:
-		case same:
-			near = append(near, beacon.Address)
-		default:
-			far = append(far, beacon.Address)
-		}
-	}
-	if len(near) > 0 || len(far) == 0 {
-		m.behindSince = 0
-		return anyOf(near)
-	}
-	if m.behindSince == 0 {
-		m.behindSince = now
-	}
-	if !first && asOf > 0 && now.Sub(m.behindSince) < nearGrace {
-		return "", false
-	}
-	return anyOf(far)
-}
-
-// anyOf draws one of the addresses, so that not all daemons ask the same one.
-func anyOf(addresses []string) (string, bool) {
-	if len(addresses) == 0 {
-		return "", false
-	}
-	return addresses[rand.IntN(len(addresses))], true
-}
-
-// reads reports whether this daemon has to read the store itself.
-func (m *members) reads(domain id.Domain) bool {
-	now := m.now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	others := make([]mirror.Daemon, 0, len(m.heard))
-	for _, beacon := range m.heard {
-		age := now.Sub(beacon.Received)
-		others = append(others, mirror.Daemon{
-			Address: beacon.Address, Domain: beacon.Domain,
-			Fresh: age < beaconLife && beacon.ReadAge+age < freshAge,
-		})
-	}
-	return mirror.Reads(mirror.Daemon{Address: m.self, Domain: domain}, others)
-}
-
-// forget drops what was heard of a daemon.
-func (m *members) forget(address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.heard, address)
-}
-
 // sleep waits for the span or the end of the context.
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
