--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -128,7 +128,9 @@
 	answer, refused := h.serve(ctx, r, j)
 	j.record.Refused = refused
 	j.record.Took = h.options.Now().Sub(j.arrived)
-	j.record.Left = j.deadline.Sub(h.options.Now())
+	if j.route != nil {
+		j.record.Left = j.deadline.Sub(h.options.Now())
+	}
 	switch {
 	case refused == nil:
 		j.record.Status = answer.Status
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -160,6 +160,8 @@
 			is.Equal(answer.Header.Get("Retry-After") != "", test.status == http.StatusServiceUnavailable)
 			is.Equal(len(w.records), 1)
 			is.Equal(w.records[0].Status, test.status)
+			// A request without a route has no deadline, and none is logged.
+			is.True(w.records[0].Left > -time.Minute)
 		})
 	}
 }
