Log whether a request is a call of a running one, and drop two leftovers

Cause: the diff read as a newcomer: a record field that nothing read, an assertion that the compiler makes anyway, and a field for internal calls that no line showed. Ruled out: changes of the way of a request. Before: unused Record.Aim, Record.Internal and an interface assertion.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -227,5 +226,3 @@
 
 // ErrPeerClosed is the cause of a context that ended with its connection.
 var ErrPeerClosed = errors.New("the peer closed the connection")
-
-var _ io.Reader = (*Conn)(nil)
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -102,7 +102,6 @@
 	Took     time.Duration
 	Left     time.Duration
 	Internal bool
-	Aim      time.Duration
 	Expected time.Duration
 }
 
@@ -186,7 +185,7 @@
 	}
 	j.deadline = j.arrived.Add(patience)
 	j.service = j.route.Next()
-	j.record.Route, j.record.Service, j.record.Aim = j.route.Name, j.service, j.route.Aim
+	j.record.Route, j.record.Service = j.route.Name, j.service
 }
 
 // restartTime is how long a daemon takes to be back after its end.
--- a/sidecar/requestlog.go
+++ b/sidecar/requestlog.go
@@ -63,6 +63,7 @@
 		zap.String("server", string(record.Server)), zap.Int("attempts", record.Attempts),
 		zap.Int("arrivals", record.Arrivals), zap.Int("status", record.Status),
 		zap.Duration("took", record.Took), zap.Duration("left", record.Left), zap.Duration("expected", record.Expected),
+		zap.Bool("internal", record.Internal),
 	}
 	if record.Refused == nil {
 		l.log.Info("answered", fields...)
