Send long answers in a lane of the link and take no more than it can send

Cause: on the grown deployments hosts have links of 6 and 8 Mbit/s. Downloads of 90 KB fill the link of a depot host; calls of lookups and beacons wait behind them for seconds, and the runs that need the calls fail with 500. The host's daemon sends long answers at 0.8 of the link, two at a time, books them before their requests run, refuses those that would wait too long, and tells other daemons how long its link is busy.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -92,6 +92,10 @@
 	Queued  int
 	Slots   int
 	Service time.Duration
+	// LinkWait is the time until the long answers that the host has still to
+	// send have left, Transfer the time that one of them takes.
+	LinkWait time.Duration
+	Transfer time.Duration
 	// Leaving is set when neither daemon nor backend server takes new work.
 	Leaving bool
 	// At is when the report arrived.
@@ -104,6 +108,8 @@
 	Large   bool
 	Now     id.Instant
 	Exclude []backend.ID
+	// Local is the backend server of this host, which needs no link.
+	Local backend.ID
 }
 
 // Choice is the chosen backend server.
@@ -330,6 +336,9 @@
 	used := float64(min(load, slots)) / float64(slots)
 	busy := time.Duration(busyShare * math.Pow(used, busyPower) * float64(service))
 	expected := wait + service + busy
+	if request.Large && one.server.ID != request.Local {
+		expected = max(expected, one.report.LinkWait+time.Duration(one.sent)*one.report.Transfer) + one.report.Transfer
+	}
 	if one.server.Domain != c.domain {
 		expected += farPenalty
 		if request.Large {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -140,3 +140,31 @@
 	is.True(found)
 	is.Equal(choice.Server.ID, backend.ID("cut"))
 }
+
+// Guards against downloads for a host whose link is busy for a second, which a
+// daemon sees in no slot, and against its own host being charged for a link.
+func TestLargeAnswersAvoidBusyLinks(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	c.SetServers([]backend.Server{server("busy", "reduit"), server("free", "reduit")})
+	busy := Report{
+		Server: "busy", Slots: 10, Service: 100 * time.Millisecond,
+		LinkWait: time.Second, Transfer: 120 * time.Millisecond, At: now,
+	}
+	free := Report{
+		Server: "free", Running: 9, Slots: 10, Service: 200 * time.Millisecond,
+		Transfer: 120 * time.Millisecond, At: now,
+	}
+	c.Report(busy)
+	c.Report(free)
+	is.Equal(choose(t, c, Request{Now: now, Large: true}, 20)["free"], 20)
+	is.Equal(choose(t, c, Request{Now: now}, 20)["busy"], 20)
+	is.Equal(choose(t, c, Request{Now: now, Large: true, Local: "busy"}, 20)["busy"], 20)
+	// Downloads sent since the report need the link as well.
+	for range 20 {
+		c.Started("free", now)
+		c.Finished("free", Served, now)
+	}
+	is.Equal(choose(t, c, Request{Now: now, Large: true}, 20)["busy"], 20)
+}
--- a/io/control/beacon.go
+++ b/io/control/beacon.go
@@ -17,7 +17,7 @@
 	// maxBeacon is the size of the largest beacon accepted.
 	maxBeacon = 512
 	// beaconFormat is the first byte of a beacon; other formats are refused.
-	beaconFormat = 1
+	beaconFormat = 2
 )
 
 // Beacon is what a daemon tells of itself.
@@ -47,6 +47,8 @@
 	Queued        uint16
 	Slots         uint16
 	ServiceMicros uint32
+	LinkWaitMS    uint16
+	TransferMS    uint16
 	StoreAgeMS    uint32
 	ReadAgeMS     uint32
 	Boot          uint64
@@ -62,7 +64,8 @@
 	fixed := fixedBeacon{
 		Format: beaconFormat, Leaving: load.Leaving,
 		Running: clamp[uint16](load.Running), Queued: clamp[uint16](load.Queued), Slots: clamp[uint16](load.Slots),
-		ServiceMicros: clamp[uint32](load.Service.Microseconds()), StoreAgeMS: clamp[uint32](beacon.StoreAge.Milliseconds()),
+		ServiceMicros: clamp[uint32](load.Service.Microseconds()),
+		LinkWaitMS:    clamp[uint16](load.LinkWait.Milliseconds()), TransferMS: clamp[uint16](load.Transfer.Milliseconds()), StoreAgeMS: clamp[uint32](beacon.StoreAge.Milliseconds()),
 		ReadAgeMS: clamp[uint32](beacon.ReadAge.Milliseconds()),
 		Boot:      beacon.Boot, Sequence: uint32(beacon.Sequence), Revision: uint64(beacon.Revision),
 	}
@@ -108,7 +111,9 @@
 		Load: placement.Report{
 			Server: backend.ID(server), Leaving: fixed.Leaving,
 			Running: int(fixed.Running), Queued: int(fixed.Queued), Slots: int(fixed.Slots),
-			Service: time.Duration(fixed.ServiceMicros) * time.Microsecond,
+			Service:  time.Duration(fixed.ServiceMicros) * time.Microsecond,
+			LinkWait: time.Duration(fixed.LinkWaitMS) * time.Millisecond,
+			Transfer: time.Duration(fixed.TransferMS) * time.Millisecond,
 		},
 	}, nil
 }
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -105,7 +105,7 @@
 func (h *Handler) offer(ctx context.Context, j *job, number int) (*http1.Answer, *refusal.Error) {
 	now := h.options.Now()
 	choice, found := h.options.Chooser.Choose(placement.Request{
-		Service: j.service, Large: j.route.Large, Now: now, Exclude: j.exclude,
+		Service: j.service, Large: j.route.Large, Now: now, Exclude: j.exclude, Local: h.options.Local(),
 	})
 	if !found {
 		return nil, refusal.Wrap(refusal.NoEndpoint, refusal.NotRun, errNoServer)
@@ -114,7 +114,7 @@
 	j.record.Server, j.record.Expected = choice.Server.ID, choice.Expected
 	call := relay.Call{
 		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
-		Aim: j.route.Aim, NoWait: number <= eagerOffers,
+		Aim: j.route.Aim, NoWait: number <= eagerOffers, Large: j.route.Large,
 	}
 	h.options.Chooser.Started(choice.Server.ID, now)
 	answer, refused := h.options.Sender.Do(ctx, &choice.Server, call, j.request)
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -75,6 +75,8 @@
 	// Budget returns the retry budget of a service.
 	Budget   func(service id.Service) *retry.Budget
 	Recorder Recorder
+	// Local returns the backend server of this host, if it is listed.
+	Local func() backend.ID
 	// RunOf returns the run on this host that makes the request, or nil.
 	RunOf func(requestID string) Run
 	Now   func() id.Instant
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -104,6 +104,7 @@
 		Table:  func() *route.Table { return w.table },
 		Budget: func(id.Service) *retry.Budget { return w.budget },
 		RunOf:  func(string) Run { return nil },
+		Local:  func() backend.ID { return "" },
 		Now:    func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
 	})
 }
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -39,6 +39,7 @@
 	headerAim         = headerPrefix + "Aim-Us"
 	headerCallRefused = headerPrefix + "Call-Refused"
 	headerNoWait      = headerPrefix + "No-Wait"
+	headerLarge       = headerPrefix + "Large"
 	headerOutcome     = headerPrefix + "Outcome"
 	headerReason      = headerPrefix + "Reason"
 	headerLoad        = headerPrefix + "Load"
@@ -60,6 +61,8 @@
 	Aim time.Duration
 	// NoWait refuses the request when no slot is free.
 	NoWait bool
+	// Large announces a long answer, which takes its time on the link.
+	Large bool
 }
 
 // Local passes requests to the backend server beside this daemon.
@@ -76,6 +79,9 @@
 	if c.NoWait {
 		header.Set(headerNoWait, flagSet)
 	}
+	if c.Large {
+		header.Set(headerLarge, flagSet)
+	}
 }
 
 var errCallHeaders = errors.New("relay: the headers of the call are missing or wrong")
@@ -97,6 +103,7 @@
 		Server: backend.ID(header.Get(headerServer)), Rank: rank,
 		Left: spans[0], Aim: spans[1],
 		NoWait: header.Get(headerNoWait) == flagSet,
+		Large:  header.Get(headerLarge) == flagSet,
 	}, nil
 }
 
@@ -140,17 +147,20 @@
 	if report.Leaving {
 		leaving = 1
 	}
-	return fmt.Sprintf("%d %d %d %d %d", report.Running, report.Queued, report.Slots, report.Service.Microseconds(), leaving)
+	return fmt.Sprintf("%d %d %d %d %d %d %d", report.Running, report.Queued, report.Slots, report.Service.Microseconds(), leaving,
+		report.LinkWait.Microseconds(), report.Transfer.Microseconds())
 }
 
 func parseLoad(text string) (placement.Report, bool) {
 	var report placement.Report
-	var micros int64
+	var service, linkWait, transfer int64
 	var leaving int
-	if _, err := fmt.Sscanf(text, "%d %d %d %d %d", &report.Running, &report.Queued, &report.Slots, &micros, &leaving); err != nil {
+	if _, err := fmt.Sscanf(text, "%d %d %d %d %d %d %d", &report.Running, &report.Queued, &report.Slots, &service, &leaving, &linkWait, &transfer); err != nil {
 		return placement.Report{}, false
 	}
-	report.Service = time.Duration(micros) * time.Microsecond
+	report.Service = time.Duration(service) * time.Microsecond
+	report.LinkWait = time.Duration(linkWait) * time.Microsecond
+	report.Transfer = time.Duration(transfer) * time.Microsecond
 	report.Leaving = leaving == 1
 	return report, true
 }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -5,7 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
+	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
 )
@@ -16,11 +19,14 @@
 const BufferedBody = 256 << 10
 
 // Handler accepts requests of other daemons.
-type Handler struct{ local Local }
+type Handler struct {
+	local Local
+	lane  *Lane
+}
 
 // NewHandler returns a handler that passes requests to the local backend
-// server.
-func NewHandler(local Local) *Handler { return &Handler{local: local} }
+// server and sends long answers in the lane.
+func NewHandler(local Local, lane *Lane) *Handler { return &Handler{local: local, lane: lane} }
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -34,6 +40,16 @@
 		h.refuse(w, refused)
 		return
 	}
+	var booking *link.Booking
+	if call.Large {
+		booked, ok := h.lane.link.Book(h.local.Load().Service, h.longestWait(call))
+		if !ok {
+			h.refuse(w, refusal.New(refusal.QueueDeadline, refusal.NotRun))
+			return
+		}
+		defer booked.Close()
+		booking = booked
+	}
 	answer, refused := h.local.Send(r.Context(), call, request)
 	if r.Context().Err() != nil && (refused != nil && refused.Reason == refusal.CallerGone) {
 		panic(http.ErrAbortHandler)
@@ -44,8 +60,27 @@
 	}
 	header := w.Header()
 	header.Set(headerOutcome, refusal.Ran.String())
+	if booking == nil || len(answer.Body) <= laneChunk {
+		header.Set(headerLoad, formatLoad(h.local.Load()))
+		WriteAnswer(w, answer)
+		return
+	}
+	booking.Size(len(answer.Body))
 	header.Set(headerLoad, formatLoad(h.local.Load()))
-	WriteAnswer(w, answer)
+	writeHeader(w, answer)
+	// A failed write ends the connection, which the reader notices.
+	if err := h.lane.write(r.Context(), w, answer.Body, booking); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// longestWait returns how long a long answer may wait for the link.
+func (h *Handler) longestWait(call Call) time.Duration {
+	if call.NoWait {
+		return 0
+	}
+	wait := admission.Wait{Aim: call.Aim, Left: call.Left, Service: h.local.Load().Service + h.lane.link.Transfer()}
+	return wait.Longest()
 }
 
 // Leave refuses a request because this daemon is about to end.
@@ -87,6 +122,12 @@
 
 // WriteAnswer writes a whole answer.
 func WriteAnswer(w http.ResponseWriter, answer *http1.Answer) {
+	writeHeader(w, answer)
+	// A failed write ends the connection, which the reader notices.
+	_, _ = w.Write(answer.Body)
+}
+
+func writeHeader(w http.ResponseWriter, answer *http1.Answer) {
 	header := w.Header()
 	for name, values := range Forwardable(answer.Header) {
 		header[name] = values
@@ -101,6 +142,4 @@
 		header["Content-Type"] = nil
 	}
 	w.WriteHeader(answer.Status)
-	// A failed write ends the connection, which the reader notices.
-	_, _ = w.Write(answer.Body)
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
@@ -35,7 +36,7 @@
 
 func send(t *testing.T, l *local, call Call, header http.Header) (*http1.Answer, *refusal.Error, []placement.Report) {
 	t.Helper()
-	behind := httptest.NewServer(NewHandler(l))
+	behind := httptest.NewServer(NewHandler(l, NewLane(link.New(0), 0)))
 	defer behind.Close()
 	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleLimit: time.Second, MaxBody: 1 << 20})
 	defer pool.Clear()
@@ -86,7 +87,7 @@
 func TestForeignPeers(t *testing.T) {
 	is := is.New(t)
 	l := &local{}
-	handler := NewHandler(l)
+	handler := NewHandler(l, NewLane(link.New(0), 0))
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
 	is.Equal(recorder.Code, http.StatusServiceUnavailable)
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -20,6 +20,7 @@
 	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
@@ -52,6 +53,8 @@
 	Pool    *http1.Pool
 	Dialect Dialect
 	Now     func() id.Instant
+	// Link is the account of the long answers on their way from this host.
+	Link *link.Link
 	// Refused is told of each request that got no answer here, if set.
 	Refused func(requestID string, call relay.Call, refused *refusal.Error)
 }
@@ -127,6 +130,7 @@
 		return report
 	}
 	report.Server, report.Slots = current.ID, current.Slots
+	report.LinkWait, report.Transfer = s.options.Link.Wait(), s.options.Link.Transfer()
 	report.Leaving = report.Leaving || current.State == backend.Draining
 	s.mu.Lock()
 	report.Service = s.service.mean
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -12,6 +12,7 @@
 
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/relay"
@@ -41,7 +42,7 @@
 	t.Cleanup(pool.Clear)
 	start := time.Now()
 	s := New(Options{
-		Address: strings.TrimPrefix(behind.URL, "http://"), Pool: pool, Dialect: dialect{},
+		Address: strings.TrimPrefix(behind.URL, "http://"), Pool: pool, Dialect: dialect{}, Link: link.New(0),
 		Now: func() id.Instant { return id.Instant(time.Since(start)) },
 	})
 	s.SetCurrent(backend.Server{ID: "i-1", Slots: 1}, true)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,7 +25,9 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
@@ -66,6 +68,9 @@
 	// service that is called.
 	retryShare = 0.4
 	percent    = 100
+	// laneShare is the part of the host's link that long answers use. The rest is
+	// for short messages, beacons and acknowledgements.
+	laneShare = 0.8
 )
 
 // Daemon is the process beside one backend server.
@@ -85,6 +90,7 @@
 	hops    *http1.Pool
 	backend *http1.Pool
 	relay   *relay.Client
+	lane    *relay.Lane
 	peers   *control.Client
 	gossip  *control.Gossip
 
@@ -142,7 +148,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("hop address: %w", err)
 	}
+	limit := laneShare * settings.LinkRate
+	account := link.New(limit)
+	d.lane = relay.NewLane(account, limit)
 	d.local = server.New(server.Options{
+		Link:    account,
 		Address: settings.BackendAddress, Pool: d.backend, Dialect: headers, Now: d.now,
 		Refused: func(requestID string, call relay.Call, refused *refusal.Error) {
 			d.requests.Refused(requestID, call, refused, d.local.Load())
@@ -189,6 +199,14 @@
 	return run
 }
 
+// localServer returns the backend server of this host, if it is listed.
+func (d *Daemon) localServer() backend.ID {
+	if current := d.local.Current(); current != nil {
+		return current.ID
+	}
+	return ""
+}
+
 // Run serves until the context ends, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context, source Source) error {
 	d.log.Info("starting", zap.String("host", string(d.settings.Load().Host)), zap.String("domain", string(d.settings.Load().Domain)),
@@ -221,8 +239,9 @@
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
 		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, RunOf: d.runOf, Now: d.now,
+		Local: d.localServer,
 	})
-	hops := relay.NewHandler(d.local)
+	hops := relay.NewHandler(d.local, d.lane)
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
