Read the store over fast links and pass configurations on as differences

Cause: a configuration of 1,600 routes has about 400 KB. A host with a link of 6 Mbit/s takes half a second to read it and as long to pass it on; in a storm of changes all hosts send and receive a version several times a second beside their calls. Ruled out: reading by all (each call is priced, and links are as slow). Of the daemons of a failure domain the one with the fastest link reads first, links within a factor of two counting as equal. A follower names the large values it holds and gets differences from them.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -25,6 +25,15 @@
 // history covers most of a minute.
 const historyLength = 512
 
+const (
+	// largeValue is the size in bytes from which former values are kept. Only
+	// configurations are that long.
+	largeValue = 16 << 10
+	// formerKept is how many former values of a key are kept. At ten changes a
+	// second they cover the time that a neighbour lags behind.
+	formerKept = 8
+)
+
 // Revision counts the changes of the store.
 type Revision uint64
 
@@ -57,17 +66,19 @@
 
 // Mirror is safe for concurrent use.
 type Mirror struct {
-	mu       sync.Mutex
-	asOf     Revision
-	items    map[string]Item
-	history  []Item
-	begins   Revision
+	mu      sync.Mutex
+	asOf    Revision
+	items   map[string]Item
+	history []Item
+	begins  Revision
+	// former holds earlier large values of each key, the oldest first.
+	former   map[string][]Item
 	advanced chan struct{}
 }
 
 // New returns an empty copy.
 func New() *Mirror {
-	return &Mirror{items: map[string]Item{}, advanced: make(chan struct{})}
+	return &Mirror{items: map[string]Item{}, former: map[string][]Item{}, advanced: make(chan struct{})}
 }
 
 // AsOf returns the revision up to which the copy is complete.
@@ -99,6 +110,9 @@
 		}
 	}
 	slices.SortStableFunc(applied, func(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, item := range applied {
+		m.keepFormer(item.Key)
+	}
 	m.items, m.history, m.begins = listed, nil, asOf
 	m.advance(asOf)
 	return applied
@@ -122,6 +136,7 @@
 		if event.Revision <= m.asOf {
 			continue
 		}
+		m.keepFormer(event.Key)
 		if event.Deleted {
 			delete(m.items, event.Key)
 		} else {
@@ -134,6 +149,51 @@
 	return applied, nil
 }
 
+// keepFormer keeps the value of a key that is about to change, and drops it from
+// the history, from which only the newest value of a key is sent.
+func (m *Mirror) keepFormer(key string) {
+	item, found := m.items[key]
+	if !found || len(item.Value) < largeValue {
+		return
+	}
+	kept := append(m.former[key], item)
+	m.former[key] = slices.Clone(kept[max(0, len(kept)-formerKept):])
+	for i := range m.history {
+		if m.history[i].Key == key {
+			m.history[i].Value = nil
+		}
+	}
+}
+
+// Large returns the items with large values.
+func (m *Mirror) Large() []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var large []Item
+	for _, item := range m.items {
+		if len(item.Value) >= largeValue {
+			large = append(large, item)
+		}
+	}
+	return large
+}
+
+// Value returns the value that a key had at the revision of a change, if it is
+// still known.
+func (m *Mirror) Value(key string, revision Revision) ([]byte, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if item, found := m.items[key]; found && item.Revision == revision {
+		return item.Value, true
+	}
+	for _, item := range m.former[key] {
+		if item.Revision == revision {
+			return item.Value, true
+		}
+	}
+	return nil, false
+}
+
 func (m *Mirror) remember(events []Item) {
 	m.history = append(m.history, events...)
 	if over := len(m.history) - historyLength; over > 0 {
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 )
 
 // Guards against a copy that moves backward, skips changes, or differs from the
@@ -120,3 +121,30 @@
 	is.True(fleet(stale) >= readersWanted)
 	is.True(Reads(Daemon{Address: "10.0.0.1:80"}, nil))
 }
+
+// Guards against a reader that takes half a second for each version of a large
+// configuration, because its link is a slow one, while hosts with fast links
+// follow it.
+func TestFastLinksRead(t *testing.T) {
+	is := is.New(t)
+	const slow, fast link.Rate = 750_000, 12_500_000
+	var all []Daemon
+	for i := range 60 {
+		rate := slow
+		if i%10 == 7 {
+			rate = fast
+		}
+		all = append(all, Daemon{
+			Address: fmt.Sprintf("10.%d.0.%d:80", i%3, i), Domain: id.Domain(fmt.Sprint("domain-", i%3)), Link: rate, Fresh: true,
+		})
+	}
+	reading := 0
+	for i, self := range all {
+		others := append(append([]Daemon{}, all[:i]...), all[i+1:]...)
+		if Reads(self, others) {
+			is.Equal(self.Link, fast)
+			reading++
+		}
+	}
+	is.Equal(reading, readersWanted)
+}
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 )
 
 // readersWanted is the number of daemons that read the store at a time. Two,
@@ -18,6 +20,8 @@
 	// Address is the daemon's control address.
 	Address string
 	Domain  id.Domain
+	// Link is what the daemon's network link carries; zero is unknown.
+	Link link.Rate
 	// Fresh is set when the daemon has heard from the store a short while ago,
 	// as far as is known here.
 	Fresh bool
@@ -41,7 +45,7 @@
 
 // rank returns the place of each daemon within its failure domain.
 func rank(all []Daemon) map[string]int {
-	slices.SortFunc(all, compareHash)
+	slices.SortFunc(all, compareLink)
 	ranks := make(map[string]int, len(all))
 	counts := map[id.Domain]int{}
 	for _, daemon := range all {
@@ -57,9 +61,22 @@
 	if order := cmp.Compare(ranks[a.Address], ranks[b.Address]); order != 0 {
 		return order < 0
 	}
-	return compareHash(a, b) < 0
+	return compareLink(a, b) < 0
 }
 
+// compareLink puts fast links first: a configuration of some hundred kilobytes
+// takes a link of 6 Mbit/s half a second, and a reader gets every version whole.
+// Rates that differ by less than a factor of two count as equal, so that links
+// of one kind share the reading.
+func compareLink(a, b Daemon) int {
+	if order := cmp.Compare(linkClass(b), linkClass(a)); order != 0 {
+		return order
+	}
+	return compareHash(a, b)
+}
+
+func linkClass(daemon Daemon) int { return bits.Len64(uint64(daemon.Link)) }
+
 func compareHash(a, b Daemon) int {
 	if order := cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)); order != 0 {
 		return order
--- a/io/control/beacon.go
+++ b/io/control/beacon.go
@@ -9,6 +9,7 @@
 
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
 )
@@ -33,7 +34,9 @@
 	StoreAge time.Duration
 	// ReadAge is the time since the sender itself last read the store.
 	ReadAge time.Duration
-	Load    placement.Report
+	// Link is what the sender's network link carries.
+	Link link.Rate
+	Load placement.Report
 	// Received is when the beacon arrived.
 	Received id.Instant
 }
@@ -51,12 +54,16 @@
 	TransferMS    uint16
 	StoreAgeMS    uint32
 	ReadAgeMS     uint32
+	LinkKBps      uint32
 	Boot          uint64
 	Sequence      uint32
 	Revision      uint64
 }
 
-const maxText = 255
+const (
+	maxText    = 255
+	bytesPerKB = 1000
+)
 
 func encodeBeacon(beacon Beacon) []byte {
 	var out bytes.Buffer
@@ -67,6 +74,7 @@
 		ServiceMicros: clamp[uint32](load.Service.Microseconds()),
 		LinkWaitMS:    clamp[uint16](load.LinkWait.Milliseconds()), TransferMS: clamp[uint16](load.Transfer.Milliseconds()), StoreAgeMS: clamp[uint32](beacon.StoreAge.Milliseconds()),
 		ReadAgeMS: clamp[uint32](beacon.ReadAge.Milliseconds()),
+		LinkKBps:  clamp[uint32](int64(beacon.Link / bytesPerKB)),
 		Boot:      beacon.Boot, Sequence: uint32(beacon.Sequence), Revision: uint64(beacon.Revision),
 	}
 	// Writing to a buffer cannot fail.
@@ -108,6 +116,7 @@
 		Revision: mirror.Revision(fixed.Revision),
 		StoreAge: time.Duration(fixed.StoreAgeMS) * time.Millisecond,
 		ReadAge:  time.Duration(fixed.ReadAgeMS) * time.Millisecond,
+		Link:     link.Rate(fixed.LinkKBps) * bytesPerKB,
 		Load: placement.Report{
 			Server: backend.ID(server), Leaving: fixed.Leaving,
 			Running: int(fixed.Running), Queued: int(fixed.Queued), Slots: int(fixed.Slots),
--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -36,11 +37,12 @@
 	age func() time.Duration
 	// transfers holds a place for each transfer under way.
 	transfers chan struct{}
+	deltas    *deltas
 }
 
 // NewHandler returns a handler for the copy.
 func NewHandler(copied *mirror.Mirror, age func() time.Duration) *Handler {
-	return &Handler{mirror: copied, age: age, transfers: make(chan struct{}, servedAtOnce)}
+	return &Handler{mirror: copied, age: age, transfers: make(chan struct{}, servedAtOnce), deltas: newDeltas()}
 }
 
 // ServeHTTP answers with the changes behind a revision, at once or at the
@@ -72,7 +74,7 @@
 	}
 	w.Header().Set(ageHeader, strconv.FormatInt(h.age().Milliseconds(), 10))
 	// A failed write shows at the reader, which calls again.
-	_ = encodeChanges(w, changes)
+	_ = encodeChanges(w, h.reduce(changes, r.Form[heldField]))
 }
 
 // maxChangesMemory bounds what the decoder of changes may use: all items of the
@@ -81,7 +83,7 @@
 
 // encodeChanges writes changes compressed: a configuration repeats its field
 // names and services in each route, and has to reach every daemon.
-func encodeChanges(out io.Writer, changes mirror.Changes) error {
+func encodeChanges(out io.Writer, changes transfer) error {
 	compressor, err := zstd.NewWriter(out, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(changesWindow))
 	if err != nil {
 		return err
@@ -96,15 +98,15 @@
 // configuration lie within some hundred bytes of each other.
 const changesWindow = 64 << 10
 
-func decodeChanges(in io.Reader) (mirror.Changes, error) {
+func decodeChanges(in io.Reader) (transfer, error) {
 	decompressor, err := zstd.NewReader(in, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxChangesMemory))
 	if err != nil {
-		return mirror.Changes{}, err
+		return transfer{}, err
 	}
 	defer decompressor.Close()
-	var changes mirror.Changes
+	var changes transfer
 	if err := gob.NewDecoder(decompressor).Decode(&changes); err != nil {
-		return mirror.Changes{}, err
+		return transfer{}, err
 	}
 	return changes, nil
 }
@@ -137,9 +139,14 @@
 func NewClient(pool *http1.Pool) *Client { return &Client{pool: pool} }
 
 // Changes returns the changes behind the revision that the daemon at the
-// address knows, and how long ago its copy was known to be current.
-func (c *Client) Changes(ctx context.Context, address string, after mirror.Revision, wait time.Duration) (mirror.Changes, time.Duration, error) {
-	target := fmt.Sprintf("%s?after=%d&wait_ms=%d", changesPath, after, wait.Milliseconds())
+// address knows, and how long ago its copy was known to be current. Of the items
+// that are held here only the differences are transferred.
+func (c *Client) Changes(ctx context.Context, address string, after mirror.Revision, wait time.Duration, held ...mirror.Item) (mirror.Changes, time.Duration, error) {
+	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	for _, item := range held {
+		query.Add(heldField, heldText(item))
+	}
+	target := changesPath + "?" + query.Encode()
 	answer, err := c.pool.Do(ctx, address, &http1.Request{Method: http.MethodGet, Target: target, Host: address, Header: http.Header{}})
 	if err != nil {
 		return mirror.Changes{}, 0, err
@@ -154,7 +161,11 @@
 	if err != nil {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s: bad age: %w", address, err)
 	}
-	changes, err := decodeChanges(bytes.NewReader(answer.Body))
+	received, err := decodeChanges(bytes.NewReader(answer.Body))
+	if err != nil {
+		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
+	}
+	changes, err := received.expand(held)
 	if err != nil {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
 	}
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -22,7 +22,7 @@
 func TestBeacon(t *testing.T) {
 	is := is.New(t)
 	sent := Beacon{
-		Domain: "reduit", Boot: 7, Sequence: 9, Revision: 1 << 40, StoreAge: 20 * time.Millisecond, ReadAge: 3 * time.Second,
+		Domain: "reduit", Boot: 7, Sequence: 9, Revision: 1 << 40, StoreAge: 20 * time.Millisecond, ReadAge: 3 * time.Second, Link: 750_000,
 		Load: placement.Report{Server: "i-1", Running: 3, Queued: 70000, Slots: 18, Service: 150 * time.Millisecond, Leaving: true},
 	}
 	got, err := decodeBeacon(encodeBeacon(sent))
@@ -50,7 +50,7 @@
 // Guards against a crash of a daemon by a foreign answer.
 func FuzzDecodeChanges(f *testing.F) {
 	var out bytes.Buffer
-	if err := encodeChanges(&out, mirror.Changes{Events: []mirror.Item{{Key: "a", Value: []byte("b")}}}); err != nil {
+	if err := encodeChanges(&out, transfer{Changes: mirror.Changes{Events: []mirror.Item{{Key: "a", Value: []byte("b")}}}}); err != nil {
 		f.Fatal(err)
 	}
 	f.Add(out.Bytes())
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -58,7 +58,7 @@
 	for ctx.Err() == nil {
 		stale := d.stale.Swap(false)
 		synced = synced && !stale
-		if needed := stale || d.mirror.AsOf() == 0 || d.members.reads(d.settings.Load().Domain); needed != reading {
+		if needed := stale || d.mirror.AsOf() == 0 || d.members.reads(d.settings.Load().Domain, d.settings.Load().LinkRate); needed != reading {
 			reading = needed
 			d.log.Info("store reader", zap.Bool("reading", reading), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 		}
@@ -163,7 +163,7 @@
 func (d *Daemon) fetch(ctx context.Context, address string) error {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	changes, age, err := d.peers.Changes(call, address, d.mirror.AsOf(), 0)
+	changes, age, err := d.peers.Changes(call, address, d.mirror.AsOf(), 0, d.mirror.Large()...)
 	if err != nil {
 		return err
 	}
@@ -211,7 +211,7 @@
 // beacon returns what this daemon tells of itself.
 func (d *Daemon) beacon() control.Beacon {
 	return control.Beacon{
-		Domain: d.settings.Load().Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Load: d.local.Load(),
+		Domain: d.settings.Load().Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Link: d.settings.Load().LinkRate, Load: d.local.Load(),
 		Boot: uint64(d.started.UnixNano()), Sequence: d.sequence.Add(1),
 	}
 }
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -9,6 +9,7 @@
 
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
@@ -160,7 +161,7 @@
 }
 
 // reads reports whether this daemon has to read the store itself.
-func (m *members) reads(domain id.Domain) bool {
+func (m *members) reads(domain id.Domain, rate link.Rate) bool {
 	now := m.now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -168,11 +169,11 @@
 	for _, beacon := range m.heard {
 		age := now.Sub(beacon.Received)
 		others = append(others, mirror.Daemon{
-			Address: beacon.Address, Domain: beacon.Domain,
+			Address: beacon.Address, Domain: beacon.Domain, Link: beacon.Link,
 			Fresh: age < beaconLife && beacon.ReadAge+age < freshAge,
 		})
 	}
-	return mirror.Reads(mirror.Daemon{Address: m.self, Domain: domain}, others)
+	return mirror.Reads(mirror.Daemon{Address: m.self, Domain: domain, Link: rate}, others)
 }
 
 // forget drops what was heard of a daemon.
