Send long answers to clients in the same lane of the link

Answers to clients leave over the link of the daemon's host too: 90 KB at a time, at once, and calls and lookups wait behind them. Ruled out: long writes (they return after microseconds, the socket's buffer takes them), the processor (0.0085 cores a process). The lane has a package of its own, writes every answer, and takes short ones off what long ones may use. A download also books the link of the host it is fetched to, and is refused there before it is fetched.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -21,6 +21,7 @@
 package link
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -87,8 +88,12 @@
 	return time.Duration(size / float64(l.rate) * float64(time.Second))
 }
 
-// Size sets the size of the answer, once it is known.
+// Size sets the size of the answer, once it is known. A nil booking books
+// nothing.
 func (b *Booking) Size(size int) {
+	if b == nil {
+		return
+	}
 	b.link.mu.Lock()
 	defer b.link.mu.Unlock()
 	b.link.mean += sizeWeight * (float64(size) - b.link.mean)
@@ -97,10 +102,18 @@
 }
 
 // Sent gives back a part of the booking.
-func (b *Booking) Sent(size int) { b.giveBack(float64(size)) }
+func (b *Booking) Sent(size int) {
+	if b != nil {
+		b.giveBack(float64(size))
+	}
+}
 
 // Close gives back what is left of the booking.
-func (b *Booking) Close() { b.giveBack(b.left) }
+func (b *Booking) Close() {
+	if b != nil {
+		b.giveBack(math.Inf(1))
+	}
+}
 
 func (b *Booking) giveBack(size float64) {
 	b.link.mu.Lock()
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"marjoramsaddle/core/link"
 )
 
 const (
@@ -75,6 +77,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Booking is the part of the host's link that a long answer needs, or nil.
+	Booking *link.Booking
 }
 
 // PoolOptions of a Pool.
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"marjoramsaddle/core/link"
 )
 
 const (
@@ -36,6 +38,8 @@
 	HeaderTimeout, IdleTimeout time.Duration
 	// MaxHeader bounds the size of a header in bytes.
 	MaxHeader int64
+	// Write writes the body of an answer; nil writes it at once.
+	Write func(ctx context.Context, out io.Writer, body []byte, booking *link.Booking) error
 }
 
 // Server accepts HTTP/1.1 requests. Unlike the server of net/http it works on
@@ -284,13 +288,13 @@
 	open := true
 	for next := range c.pending {
 		answer := <-next
-		if !open {
-			continue
-		}
-		if answer == nil || c.send(answer) != nil || answer.Header.Get("Connection") == "close" {
+		if open && (answer == nil || c.send(answer) != nil || answer.Header.Get("Connection") == "close") {
 			open = false
 			_ = c.conn.Close()
 		}
+		if answer != nil {
+			answer.Booking.Close()
+		}
 	}
 }
 
@@ -309,8 +313,16 @@
 	if _, err := c.writer.WriteString("\r\n"); err != nil {
 		return err
 	}
-	if _, err := c.writer.Write(answer.Body); err != nil {
+	if err := c.server.write(c.ctx, c.writer, answer); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
+
+func (s *Server) write(ctx context.Context, out io.Writer, answer *Answer) error {
+	if s.options.Write != nil {
+		return s.options.Write(ctx, out, answer.Body, answer.Booking)
+	}
+	_, err := out.Write(answer.Body)
+	return err
+}
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -16,8 +16,10 @@
 	"strconv"
 	"time"
 
+	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
@@ -75,6 +77,8 @@
 	// Budget returns the retry budget of a service.
 	Budget   func(service id.Service) *retry.Budget
 	Recorder Recorder
+	// Link is the account of the long answers of this host.
+	Link *link.Link
 	// Local returns the backend server of this host, if it is listed.
 	Local func() backend.ID
 	// RunOf returns the run on this host that makes the request, or nil.
@@ -115,7 +119,9 @@
 	arrived  id.Instant
 	deadline id.Instant
 	// run makes this request; nil for a request of a client.
-	run     Run
+	run Run
+	// booking is the part of this host's link that a long answer needs.
+	booking *link.Booking
 	record  Record
 	exclude []backend.ID
 }
@@ -132,8 +138,12 @@
 	if j.route != nil {
 		j.record.Left = j.deadline.Sub(h.options.Now())
 	}
+	if refused != nil {
+		j.booking.Close()
+	}
 	switch {
 	case refused == nil:
+		answer.Booking = j.booking
 		j.record.Status = answer.Status
 		answer.Header = relay.Forwardable(answer.Header)
 		relay.Strip(answer.Header)
@@ -171,6 +181,9 @@
 	}
 	h.options.Dialect.SetCaller(request.Header, h.options.Service())
 	j.request = request
+	if refused := h.book(j); refused != nil {
+		return nil, refused
+	}
 	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(h.options.Now())+answerGrace)
 	defer cancel()
 	return h.attempts(ctx, j)
@@ -190,6 +203,23 @@
 	j.record.Route, j.record.Service = j.route.Name, j.service
 }
 
+// book makes room on this host's link for a long answer. A client is refused at
+// once when its answer would have to wait here after the whole way.
+func (h *Handler) book(j *job) *refusal.Error {
+	if !j.route.Large {
+		return nil
+	}
+	transfer := h.options.Link.Transfer()
+	wait := admission.Wait{Aim: j.route.Aim, Left: j.deadline.Sub(j.arrived), Service: transfer}
+	booking, booked := h.options.Link.Book(transfer, wait.Longest())
+	if !booked {
+		j.record.Expected = h.options.Link.Wait()
+		return refusal.New(refusal.QueueDeadline, refusal.NotRun)
+	}
+	j.booking = booking
+	return nil
+}
+
 // restartTime is how long a daemon takes to be back after its end.
 const restartTime = time.Second
 
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
@@ -34,6 +35,7 @@
 	records  []Record
 	budget   *retry.Budget
 	table    *route.Table
+	link     *link.Link
 }
 
 func (w *world) RequestID(header http.Header) string { return header.Get("Id") }
@@ -91,13 +93,17 @@
 		Limits: route.Limits{BodyBytes: 10},
 		Routes: []route.Route{
 			{Name: "orders", Host: "shop", Prefix: "/orders/", Attempts: 2, Timeout: 300 * time.Millisecond, Parts: part},
+			{
+				Name: "catalogue", Host: "shop", Prefix: "/catalogue/", Attempts: 2, Timeout: 4 * time.Second,
+				Aim: time.Second, Idempotent: true, Large: true, Parts: part,
+			},
 			{Name: "stock", Host: "shop", Prefix: "/stock/", Attempts: 2, Timeout: 300 * time.Millisecond, Idempotent: true, Parts: part},
 		},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{outcomes: outcomes, table: table, budget: retry.NewBudget(50, retry.WithMinimum(0))}
+	w := &world{outcomes: outcomes, link: link.New(100_000), table: table, budget: retry.NewBudget(50, retry.WithMinimum(0))}
 	start := time.Now()
 	return w, New(Options{
 		Service: func() id.Service { return "depot" }, Dialect: w, Chooser: w, Sender: w, Recorder: w,
@@ -105,6 +111,7 @@
 		Budget: func(id.Service) *retry.Budget { return w.budget },
 		RunOf:  func(string) Run { return nil },
 		Local:  func() backend.ID { return "" },
+		Link:   w.link,
 		Now:    func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
 	})
 }
@@ -192,3 +199,27 @@
 	w.table = nil
 	is.Equal(handler.Serve(context.Background(), request(http.MethodPost, "/orders/", "")).Status, http.StatusServiceUnavailable)
 }
+
+// Guards against downloads that are fetched over the network and then wait for
+// the link of this host: they are refused at once, with the time after which the
+// link is free, and their room is given back when nobody answers.
+func TestDownloadsNeedTheOwnLink(t *testing.T) {
+	is := is.New(t)
+	w, handler := newWorld(t, outcome{status: http.StatusOK}, outcome{refused: refusal.New(refusal.QueueFull, refusal.NotRun)})
+	answer := handler.Serve(context.Background(), request(http.MethodGet, "/catalogue/", ""))
+	is.Equal(answer.Status, http.StatusOK)
+	// An answer of 100 KB has a second on this link.
+	is.Equal(w.link.Wait(), time.Second)
+	offers := len(w.calls)
+	another, booked := w.link.Book(0, time.Hour)
+	is.True(booked)
+	refused := handler.Serve(context.Background(), request(http.MethodGet, "/catalogue/", ""))
+	is.Equal(refused.Status, http.StatusServiceUnavailable)
+	is.Equal(len(w.calls), offers)
+	is.Equal(handler.Serve(context.Background(), request(http.MethodGet, "/orders/", "")).Status, http.StatusServiceUnavailable)
+	is.True(len(w.calls) > offers)
+	another.Close()
+	answer.Booking.Close()
+	is.Equal(handler.Serve(context.Background(), request(http.MethodGet, "/catalogue/", "")).Status, http.StatusServiceUnavailable)
+	is.Equal(w.link.Wait(), time.Duration(0))
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -11,6 +11,7 @@
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/lane"
 )
 
 // BufferedBody is the size up to which a request body is read whole before the
@@ -21,12 +22,12 @@
 // Handler accepts requests of other daemons.
 type Handler struct {
 	local Local
-	lane  *Lane
+	lane  *lane.Lane
 }
 
 // NewHandler returns a handler that passes requests to the local backend
 // server and sends long answers in the lane.
-func NewHandler(local Local, lane *Lane) *Handler { return &Handler{local: local, lane: lane} }
+func NewHandler(local Local, lane *lane.Lane) *Handler { return &Handler{local: local, lane: lane} }
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -42,7 +43,7 @@
 	}
 	var booking *link.Booking
 	if call.Large {
-		booked, ok := h.lane.link.Book(h.local.Load().Service, h.longestWait(call))
+		booked, ok := h.lane.Account().Book(h.local.Load().Service, h.longestWait(call))
 		if !ok {
 			h.refuse(w, refusal.New(refusal.QueueDeadline, refusal.NotRun))
 			return
@@ -60,16 +61,10 @@
 	}
 	header := w.Header()
 	header.Set(headerOutcome, refusal.Ran.String())
-	if booking == nil || len(answer.Body) <= laneChunk {
-		header.Set(headerLoad, formatLoad(h.local.Load()))
-		WriteAnswer(w, answer)
-		return
-	}
-	booking.Size(len(answer.Body))
 	header.Set(headerLoad, formatLoad(h.local.Load()))
 	writeHeader(w, answer)
-	// A failed write ends the connection, which the reader notices.
-	if err := h.lane.write(r.Context(), w, answer.Body, booking); err != nil {
+	if err := h.lane.Write(r.Context(), w, answer.Body, booking); err != nil {
+		// An answer that is cut off must not look whole.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -79,7 +74,7 @@
 	if call.NoWait {
 		return 0
 	}
-	wait := admission.Wait{Aim: call.Aim, Left: call.Left, Service: h.local.Load().Service + h.lane.link.Transfer()}
+	wait := admission.Wait{Aim: call.Aim, Left: call.Left, Service: h.local.Load().Service + h.lane.Account().Transfer()}
 	return wait.Longest()
 }
 
@@ -120,13 +115,6 @@
 	return request, nil
 }
 
-// WriteAnswer writes a whole answer.
-func WriteAnswer(w http.ResponseWriter, answer *http1.Answer) {
-	writeHeader(w, answer)
-	// A failed write ends the connection, which the reader notices.
-	_, _ = w.Write(answer.Body)
-}
-
 func writeHeader(w http.ResponseWriter, answer *http1.Answer) {
 	header := w.Header()
 	for name, values := range Forwardable(answer.Header) {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/lane"
 )
 
 // local stands in for the backend server of a host.
@@ -36,7 +37,7 @@
 
 func send(t *testing.T, l *local, call Call, header http.Header) (*http1.Answer, *refusal.Error, []placement.Report) {
 	t.Helper()
-	behind := httptest.NewServer(NewHandler(l, NewLane(link.New(0), 0)))
+	behind := httptest.NewServer(NewHandler(l, lane.New(link.New(0), 0)))
 	defer behind.Close()
 	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleLimit: time.Second, MaxBody: 1 << 20})
 	defer pool.Clear()
@@ -87,7 +88,7 @@
 func TestForeignPeers(t *testing.T) {
 	is := is.New(t)
 	l := &local{}
-	handler := NewHandler(l, NewLane(link.New(0), 0))
+	handler := NewHandler(l, lane.New(link.New(0), 0))
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
 	is.Equal(recorder.Code, http.StatusServiceUnavailable)
@@ -114,3 +115,35 @@
 	Strip(copied)
 	is.Equal(copied, http.Header{"X-End": {"2"}})
 }
+
+// Guards against the rush of downloads at hosts with slow links: those that
+// would wait too long for the link are refused before they run, short requests
+// are not, and a download that does not wait needs the link to be free.
+func TestDownloadsAreRefusedForTheLink(t *testing.T) {
+	is := is.New(t)
+	account := link.New(100_000)
+	booking, _ := account.Book(0, time.Hour)
+	booking.Size(40_000)
+	l := &local{answer: &http1.Answer{Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, 2*lane.Long)}}
+	behind := httptest.NewServer(NewHandler(l, lane.New(account, 0)))
+	defer behind.Close()
+	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleLimit: time.Second, MaxBody: 1 << 20})
+	defer pool.Clear()
+	host, port, _ := strings.Cut(strings.TrimPrefix(behind.URL, "http://"), ":")
+	var latest placement.Report
+	client := NewClient(pool, port, func(report placement.Report) { latest = report })
+	do := func(call Call) *refusal.Error {
+		call.Server, call.Left = "i-1", 4*time.Second
+		_, refused := client.Do(context.Background(), &backend.Server{ID: "i-1", Address: host + ":1"}, call,
+			&http1.Request{Method: http.MethodGet, Target: "/", Host: "shop", Header: http.Header{}})
+		return refused
+	}
+	// 400 ms of sending, 150 ms of them behind the work.
+	is.Equal(do(Call{Large: true, NoWait: true, Aim: 2 * time.Second}).Reason, refusal.QueueDeadline)
+	is.Equal(do(Call{Large: true, Aim: 500 * time.Millisecond}).Reason, refusal.QueueDeadline)
+	is.True(do(Call{NoWait: true, Aim: 500 * time.Millisecond}) == nil)
+	is.True(do(Call{Large: true, Aim: 4 * time.Second}) == nil)
+	is.Equal(latest.Running, 3)
+	booking.Close()
+	is.True(do(Call{Large: true, NoWait: true, Aim: 500 * time.Millisecond}) == nil)
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/ingress"
+	"marjoramsaddle/io/lane"
 	"marjoramsaddle/io/relay"
 	"marjoramsaddle/io/server"
 	"marjoramsaddle/io/telemetry"
@@ -69,8 +70,8 @@
 	retryShare = 0.4
 	percent    = 100
 	// laneShare is the part of the host's link that long answers use. The rest is
-	// for short messages, beacons and acknowledgements.
-	laneShare = 0.8
+	// for requests, headers, beacons and acknowledgements.
+	laneShare = 0.85
 )
 
 // Daemon is the process beside one backend server.
@@ -90,7 +91,7 @@
 	hops    *http1.Pool
 	backend *http1.Pool
 	relay   *relay.Client
-	lane    *relay.Lane
+	lane    *lane.Lane
 	peers   *control.Client
 	gossip  *control.Gossip
 
@@ -150,7 +151,7 @@
 	}
 	limit := laneShare * settings.LinkRate
 	account := link.New(limit)
-	d.lane = relay.NewLane(account, limit)
+	d.lane = lane.New(account, limit)
 	d.local = server.New(server.Options{
 		Link:    account,
 		Address: settings.BackendAddress, Pool: d.backend, Dialect: headers, Now: d.now,
@@ -239,7 +240,7 @@
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
 		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, RunOf: d.runOf, Now: d.now,
-		Local: d.localServer,
+		Local: d.localServer, Link: d.lane.Account(),
 	})
 	hops := relay.NewHandler(d.local, d.lane)
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
@@ -253,6 +254,7 @@
 	s := &servers{
 		callers: http1.NewServer(http1.ServerOptions{
 			Handler: d.countedCallers(handler), HeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeader: maxHeader,
+			Write: d.lane.Write,
 		}),
 		hops:      d.newServer(d.countedHops(hops)),
 		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
