Tell other daemons how many requests a backend server fails

The daemon beside the server sees each outcome and reports the share of failures; a choice adds their cost.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -51,6 +51,12 @@
 	// part of its service time; busyPower lets it fall off with free slots.
 	busyShare = 0.5
 	busyPower = 4
+	// failureCost is what a failed attempt costs, in service times: it takes a
+	// repeat at best, and the rest of the client's time when the server hangs.
+	failureCost = 8
+	// failing is the share of failed requests from which a server is not tried for
+	// the sake of trying.
+	failing = 0.2
 	// coldFactor is how much slower a backend server is right after its start.
 	coldFactor = 2.0
 	// strikeLimit is the number of failures in a row after which a backend
@@ -92,6 +98,8 @@
 	Queued  int
 	Slots   int
 	Service time.Duration
+	// Failures is the share of the latest requests that the server has failed.
+	Failures float64
 	// LinkWait is the time until the long answers that the host has still to
 	// send have left, Transfer the time that one of them takes.
 	LinkWait time.Duration
@@ -243,7 +251,7 @@
 func untried(candidates []*state, now id.Instant) *state {
 	for _, one := range candidates {
 		free := one.report.Running+one.report.Queued < one.server.Slots/2
-		if free && now.Sub(one.started) >= tryInterval {
+		if free && one.report.Failures < failing && now.Sub(one.started) >= tryInterval {
 			return one
 		}
 	}
@@ -314,6 +322,15 @@
 	return best
 }
 
+// failureCost returns what the failures of the server add to the time of a good
+// answer.
+func (s *state) failureCost(service time.Duration, now id.Instant) time.Duration {
+	if now.Sub(s.report.At) >= reportLife {
+		return 0
+	}
+	return time.Duration(failureCost * s.report.Failures * float64(service))
+}
+
 // estimate returns when the backend server would answer.
 func (c *Chooser) estimate(one *state, request Request) Choice {
 	service := one.report.Service
@@ -335,7 +352,7 @@
 	// Reports are a little old, so the last slots of a server may be taken.
 	used := float64(min(load, slots)) / float64(slots)
 	busy := time.Duration(busyShare * math.Pow(used, busyPower) * float64(service))
-	expected := wait + service + busy
+	expected := wait + service + busy + one.failureCost(service, request.Now)
 	if request.Large && one.server.ID != request.Local {
 		expected = max(expected, one.report.LinkWait+time.Duration(one.sent)*one.report.Transfer) + one.report.Transfer
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -168,3 +168,24 @@
 	}
 	is.Equal(choose(t, c, Request{Now: now, Large: true}, 20)["busy"], 20)
 }
+
+// Guards against a called service of which one backend server hangs on a third
+// of its requests, while each daemon sends too few to it to notice: the daemon
+// beside it tells, the others take the work, and it is not tried for the sake of
+// trying; without room elsewhere it still works.
+func TestFailingServersGetLess(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	c.SetServers([]backend.Server{server("grey", "reduit"), server("sound", "reduit")})
+	grey := Report{Server: "grey", Slots: 10, Service: 100 * time.Millisecond, Failures: 0.34, At: now}
+	sound := Report{Server: "sound", Running: 10, Queued: 5, Slots: 10, Service: 100 * time.Millisecond, At: now}
+	c.Report(grey)
+	c.Report(sound)
+	is.Equal(choose(t, c, Request{Now: now}, 20)["sound"], 20)
+	is.Equal(untried([]*state{c.servers["grey"]}, now.Add(tryInterval)), nil)
+	sound.Queued = 40
+	c.Report(sound)
+	is.Equal(choose(t, c, Request{Now: now}, 20)["grey"], 20)
+	is.Equal(c.servers["grey"].failureCost(100*time.Millisecond, now.Add(reportLife)), time.Duration(0))
+}
--- a/io/control/beacon.go
+++ b/io/control/beacon.go
@@ -50,6 +50,7 @@
 	Queued        uint16
 	Slots         uint16
 	ServiceMicros uint32
+	FailPermille  uint16
 	LinkWaitMS    uint16
 	TransferMS    uint16
 	StoreAgeMS    uint32
@@ -63,6 +64,7 @@
 const (
 	maxText    = 255
 	bytesPerKB = 1000
+	permille   = 1000
 )
 
 func encodeBeacon(beacon Beacon) []byte {
@@ -72,6 +74,7 @@
 		Format: beaconFormat, Leaving: load.Leaving,
 		Running: clamp[uint16](load.Running), Queued: clamp[uint16](load.Queued), Slots: clamp[uint16](load.Slots),
 		ServiceMicros: clamp[uint32](load.Service.Microseconds()),
+		FailPermille:  clamp[uint16](int(load.Failures * permille)),
 		LinkWaitMS:    clamp[uint16](load.LinkWait.Milliseconds()), TransferMS: clamp[uint16](load.Transfer.Milliseconds()), StoreAgeMS: clamp[uint32](beacon.StoreAge.Milliseconds()),
 		ReadAgeMS: clamp[uint32](beacon.ReadAge.Milliseconds()),
 		LinkKBps:  clamp[uint32](int64(beacon.Link / bytesPerKB)),
@@ -121,6 +124,7 @@
 			Server: backend.ID(server), Leaving: fixed.Leaving,
 			Running: int(fixed.Running), Queued: int(fixed.Queued), Slots: int(fixed.Slots),
 			Service:  time.Duration(fixed.ServiceMicros) * time.Microsecond,
+			Failures: float64(fixed.FailPermille) / permille,
 			LinkWait: time.Duration(fixed.LinkWaitMS) * time.Millisecond,
 			Transfer: time.Duration(fixed.TransferMS) * time.Millisecond,
 		},
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -142,25 +142,29 @@
 	return copied
 }
 
+// permille is the unit in which shares travel.
+const permille = 1000
+
 func formatLoad(report placement.Report) string {
 	leaving := 0
 	if report.Leaving {
 		leaving = 1
 	}
-	return fmt.Sprintf("%d %d %d %d %d %d %d", report.Running, report.Queued, report.Slots, report.Service.Microseconds(), leaving,
-		report.LinkWait.Microseconds(), report.Transfer.Microseconds())
+	return fmt.Sprintf("%d %d %d %d %d %d %d %d", report.Running, report.Queued, report.Slots, report.Service.Microseconds(), leaving,
+		report.LinkWait.Microseconds(), report.Transfer.Microseconds(), int(report.Failures*permille))
 }
 
 func parseLoad(text string) (placement.Report, bool) {
 	var report placement.Report
 	var service, linkWait, transfer int64
-	var leaving int
-	if _, err := fmt.Sscanf(text, "%d %d %d %d %d %d %d", &report.Running, &report.Queued, &report.Slots, &service, &leaving, &linkWait, &transfer); err != nil {
+	var leaving, failures int
+	if _, err := fmt.Sscanf(text, "%d %d %d %d %d %d %d %d", &report.Running, &report.Queued, &report.Slots, &service, &leaving, &linkWait, &transfer, &failures); err != nil {
 		return placement.Report{}, false
 	}
 	report.Service = time.Duration(service) * time.Microsecond
 	report.LinkWait = time.Duration(linkWait) * time.Microsecond
 	report.Transfer = time.Duration(transfer) * time.Microsecond
+	report.Failures = float64(failures) / permille
 	report.Leaving = leaving == 1
 	return report, true
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -32,7 +32,7 @@
 }
 
 func (l *local) Load() placement.Report {
-	return placement.Report{Server: "i-1", Running: 3, Queued: 1, Slots: 18, Service: 150 * time.Millisecond}
+	return placement.Report{Server: "i-1", Running: 3, Queued: 1, Slots: 18, Service: 150 * time.Millisecond, Failures: 0.5, LinkWait: time.Second, Transfer: time.Millisecond}
 }
 
 func send(t *testing.T, l *local, call Call, header http.Header) (*http1.Answer, *refusal.Error, []placement.Report) {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -34,6 +34,10 @@
 	// answerGrace is how long after the deadline the backend server's own answer
 	// is still awaited. It answers at the deadline, a little later on the wire.
 	answerGrace = 40 * time.Millisecond
+	// hangFactor is how many times as long as the mean a request may take before
+	// its end without an answer counts against the backend server. One request in
+	// a hundred takes three times as long as the others on both users' sheets.
+	hangFactor = 3
 	// assumedSlots is used before the platform lists the backend server; no
 	// request is sent until then.
 	assumedSlots = 1
@@ -69,6 +73,7 @@
 	mu          sync.Mutex
 	connections int
 	service     serviceTime
+	failures    backend.Failures
 	runs        map[string]*Run
 }
 
@@ -88,7 +93,7 @@
 		// Connections to the former process lead nowhere.
 		s.options.Pool.Forget(s.options.Address)
 		s.mu.Lock()
-		s.service = serviceTime{}
+		s.service, s.failures = serviceTime{}, backend.Failures{}
 		s.mu.Unlock()
 	}
 	s.resize(current.Slots)
@@ -134,6 +139,7 @@
 	report.Leaving = report.Leaving || current.State == backend.Draining
 	s.mu.Lock()
 	report.Service = s.service.mean
+	report.Failures = s.failures.Share(report.At)
 	s.mu.Unlock()
 	return report
 }
@@ -194,21 +200,43 @@
 	answer, err := s.options.Pool.Do(ctx, s.options.Address, request)
 	s.end(run)
 	if err != nil {
-		return nil, failure(ctx, err)
+		refused := failure(ctx, err)
+		s.learn(started, refused.Reason != refusal.DeadlinePassed && refused.Reason != refusal.CallerGone, false)
+		return nil, refused
 	}
 	if refused := s.classify(answer); refused != nil {
+		s.learn(started, true, false)
 		return nil, refused
 	}
-	if answer.Status < http.StatusInternalServerError {
-		s.mu.Lock()
-		s.service.sample(s.options.Now().Sub(started))
-		s.mu.Unlock()
-	} else if run.callRefused.Load() {
+	callRefused := run.callRefused.Load()
+	switch {
+	case answer.Status < http.StatusInternalServerError:
+		s.learn(started, false, true)
+	case callRefused:
 		relay.MarkCallRefused(answer.Header)
+	default:
+		s.learn(started, answer.Status != http.StatusGatewayTimeout, false)
 	}
 	return answer, nil
 }
 
+// learn takes in how a request ended. One that was given up, by its deadline or
+// by its client, is a failure of the backend server when it had several times
+// as long as others take.
+func (s *Server) learn(started id.Instant, failed, served bool) {
+	now := s.options.Now()
+	took := now.Sub(started)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case served:
+		s.service.sample(took)
+		s.failures.Sample(false, now)
+	case failed, s.service.mean > 0 && took > hangFactor*s.service.mean:
+		s.failures.Sample(true, now)
+	}
+}
+
 func (s *Server) check(wanted backend.ID) *refusal.Error {
 	current := s.current.Load()
 	switch {
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -158,3 +158,32 @@
 	is.True(s.RunOf("1.1") == nil)
 	is.True(s.RunOf("1") == nil)
 }
+
+// Guards against a backend server that hangs on its requests, or rejects them
+// with free slots, counting as well because its health endpoint says so.
+func TestFailuresAreTold(t *testing.T) {
+	is := is.New(t)
+	hang := false
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if hang {
+			<-r.Context().Done()
+			return
+		}
+		w.Header().Set("Stamp", "1")
+	})
+	for range 8 {
+		_, refused := send(s, call())
+		is.True(refused == nil)
+	}
+	is.Equal(s.Load().Failures, 0.0)
+	hang = true
+	short := call()
+	short.Left = 50 * time.Millisecond
+	for range 8 {
+		_, refused := send(s, short)
+		is.Equal(refused.Reason, refusal.DeadlinePassed)
+	}
+	is.True(s.Load().Failures > 0.3)
+	s.SetCurrent(backend.Server{ID: "i-2", Slots: 1}, true)
+	is.Equal(s.Load().Failures, 0.0)
+}
