Bound the beacons of a daemon and tell their period

Cause: each daemon told all others every 300 ms and its failure domain every 100 ms, and again at every change: at 300 daemons 1,700 datagrams a second for each, before changes. In a series of changes each follower told each. Ruled out: fewer beacons for all fleets (13 daemons choose by reports of 100 ms). A round has 15 beacons within the failure domain and 15 beyond it at most; the period travels, and silence, life of reports and of news follow it. News of a revision goes to a few daemons, who tell a few.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -69,11 +69,13 @@
 	// refusedPass is how long a backend server is passed over whose daemon has
 	// refused for want of room.
 	refusedPass = 20 * time.Millisecond
-	// silentAfter is the time without a report after which a daemon may be cut
-	// off. Daemons report every 300 ms, and single reports are lost.
-	silentAfter = time.Second
-	// reportLife is how long a report of a load counts.
-	reportLife = 2 * time.Second
+	// silentAfter is the least time without a report after which a daemon may be
+	// cut off, silentPeriods the number of its periods; single reports are lost.
+	silentAfter   = time.Second
+	silentPeriods = 3
+	// reportLife is how long a report of a load counts, at least and in periods.
+	reportLife        = 2 * time.Second
+	reportLifePeriods = 4
 )
 
 // Result is how an attempt ended.
@@ -104,6 +106,9 @@
 	// send have left, Transfer the time that one of them takes.
 	LinkWait time.Duration
 	Transfer time.Duration
+	// Period is the time in which the daemon reports again, zero if that is not
+	// said.
+	Period time.Duration
 	// Leaving is set when neither daemon nor backend server takes new work.
 	Leaving bool
 	// At is when the report arrived.
@@ -189,6 +194,9 @@
 	if one == nil || report.At < one.report.At {
 		return
 	}
+	if report.Period == 0 {
+		report.Period = one.report.Period
+	}
 	one.report = report
 	one.sent = 0
 }
@@ -280,7 +288,7 @@
 	for _, one := range c.services[request.Service] {
 		switch {
 		case excluded(one.server.ID, request.Exclude):
-		case one.report.Leaving && request.Now.Sub(one.report.At) < reportLife:
+		case one.report.Leaving && one.known(request.Now):
 		case request.Now.Before(one.passed), one.silent(request.Now):
 			passed = append(passed, one)
 		default:
@@ -296,7 +304,12 @@
 // silent reports whether the daemon beside the server has told nothing for a
 // while, though it did before.
 func (s *state) silent(now id.Instant) bool {
-	return s.report.At > 0 && now.Sub(s.report.At) > silentAfter
+	return s.report.At > 0 && now.Sub(s.report.At) > max(silentAfter, silentPeriods*s.report.Period)
+}
+
+// known reports whether the latest report still counts.
+func (s *state) known(now id.Instant) bool {
+	return s.report.At > 0 && now.Sub(s.report.At) < max(reportLife, reportLifePeriods*s.report.Period)
 }
 
 func excluded(server backend.ID, exclude []backend.ID) bool {
@@ -325,7 +338,7 @@
 // failureCost returns what the failures of the server add to the time of a good
 // answer.
 func (s *state) failureCost(service time.Duration, now id.Instant) time.Duration {
-	if now.Sub(s.report.At) >= reportLife {
+	if !s.known(now) {
 		return 0
 	}
 	return time.Duration(failureCost * s.report.Failures * float64(service))
@@ -338,7 +351,7 @@
 		service = c.typical(request.Service)
 	}
 	load, slots := one.pending, max(1, one.server.Slots)
-	if one.report.At > 0 && request.Now.Sub(one.report.At) < reportLife {
+	if one.known(request.Now) {
 		load = max(one.report.Running+one.report.Queued+one.sent, one.pending)
 		slots = max(1, one.report.Slots)
 	}
--- a/io/control/beacon.go
+++ b/io/control/beacon.go
@@ -51,6 +51,7 @@
 	Slots         uint16
 	ServiceMicros uint32
 	FailPermille  uint16
+	PeriodMS      uint16
 	LinkWaitMS    uint16
 	TransferMS    uint16
 	StoreAgeMS    uint32
@@ -74,6 +75,7 @@
 		Format: beaconFormat, Leaving: load.Leaving,
 		Running: clamp[uint16](load.Running), Queued: clamp[uint16](load.Queued), Slots: clamp[uint16](load.Slots),
 		ServiceMicros: clamp[uint32](load.Service.Microseconds()),
+		PeriodMS:      clamp[uint16](load.Period.Milliseconds()),
 		FailPermille:  clamp[uint16](int(load.Failures * permille)),
 		LinkWaitMS:    clamp[uint16](load.LinkWait.Milliseconds()), TransferMS: clamp[uint16](load.Transfer.Milliseconds()), StoreAgeMS: clamp[uint32](beacon.StoreAge.Milliseconds()),
 		ReadAgeMS: clamp[uint32](beacon.ReadAge.Milliseconds()),
@@ -124,6 +126,7 @@
 			Server: backend.ID(server), Leaving: fixed.Leaving,
 			Running: int(fixed.Running), Queued: int(fixed.Queued), Slots: int(fixed.Slots),
 			Service:  time.Duration(fixed.ServiceMicros) * time.Microsecond,
+			Period:   time.Duration(fixed.PeriodMS) * time.Millisecond,
 			Failures: float64(fixed.FailPermille) / permille,
 			LinkWait: time.Duration(fixed.LinkWaitMS) * time.Millisecond,
 			Transfer: time.Duration(fixed.TransferMS) * time.Millisecond,
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -25,7 +25,7 @@
 		Domain: "reduit", Boot: 7, Sequence: 9, Revision: 1 << 40, StoreAge: 20 * time.Millisecond, ReadAge: 3 * time.Second, Link: 750_000,
 		Load: placement.Report{
 			Server: "i-1", Running: 3, Queued: 70000, Slots: 18, Service: 150 * time.Millisecond, Leaving: true,
-			Failures: 0.25, LinkWait: 400 * time.Millisecond, Transfer: 120 * time.Millisecond,
+			Failures: 0.25, Period: 200 * time.Millisecond, LinkWait: 400 * time.Millisecond, Transfer: 120 * time.Millisecond,
 		},
 	}
 	got, err := decodeBeacon(encodeBeacon(sent))
--- a/io/control/gossip.go
+++ b/io/control/gossip.go
@@ -9,7 +9,7 @@
 //
 //	gossip := control.NewGossip(conn, control.GossipOptions{...})
 //	go gossip.Receive()
-//	gossip.Send(addresses)
+//	gossip.Send(addresses, period)
 //	http.Serve(listener, control.NewHandler(mirror))
 package control
 
@@ -71,9 +71,15 @@
 	}
 }
 
-// Send sends one beacon to each of the addresses.
-func (g *Gossip) Send(addresses []string) {
-	data := encodeBeacon(g.options.Self())
+// Send sends one beacon to each of the addresses, which get one in every period.
+// A period of zero leaves the one that was told before as it is.
+func (g *Gossip) Send(addresses []string, period time.Duration) {
+	if len(addresses) == 0 {
+		return
+	}
+	beacon := g.options.Self()
+	beacon.Load.Period = period
+	data := encodeBeacon(beacon)
 	for _, address := range addresses {
 		resolved, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -26,11 +26,6 @@
 	// firstBackoff and longestBackoff space the calls to a store that refuses.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 400 * time.Millisecond
-	// beaconInterval is how often the load is told to other daemons.
-	beaconInterval = 100 * time.Millisecond
-	// farBeacons is the number of beacons within the failure domain for one that
-	// also leaves it.
-	farBeacons = 3
 	// housekeepingInterval is how often idle connections are checked.
 	housekeepingInterval = time.Second
 	// fetchInterval is how often a daemon looks whether another one is ahead.
@@ -41,8 +36,16 @@
 	// freshAge is the age of a daemon's news of the store up to which others
 	// leave the reading to it: a watch that hears nothing, and the way there.
 	freshAge = watchWait + 300*time.Millisecond
-	// beaconLife is how long a beacon counts; beacons may be lost.
-	beaconLife = 2 * farBeacons * beaconInterval
+	// beaconLife is how long a beacon counts, in periods of its sender, and at
+	// least; beacons may be lost.
+	beaconLife         = 2
+	shortestBeaconLife = 600 * time.Millisecond
+	// newsFanout is the number of daemons that are told at once of a new revision,
+	// drawn at random. Each of them tells as many, so the news reaches hundreds in
+	// a few steps without being sent to each by each.
+	newsFanout = 6
+	// readerFanout is newsFanout for a daemon that reads the store.
+	readerFanout = 24
 	// readCheck is how often a daemon that does not read looks whether it has to.
 	readCheck = 50 * time.Millisecond
 	// peerTimeout bounds a call for changes to another daemon. A megabyte of
@@ -109,7 +112,7 @@
 	d.state.confirmRead()
 	d.state.apply(applied)
 	if len(applied) > 0 {
-		d.gossip.Send(d.members.addresses())
+		d.gossip.Send(draw(d.members.addresses(), readerFanout), 0)
 		sleep(ctx, batchPause)
 	}
 	return nil
@@ -178,7 +181,7 @@
 	}
 	d.state.apply(applied)
 	if len(applied) > 0 {
-		d.gossip.Send(d.members.near(d.settings.Load().Domain))
+		d.gossip.Send(draw(d.members.near(d.settings.Load().Domain), newsFanout), 0)
 	}
 	return nil
 }
@@ -187,12 +190,11 @@
 func (d *Daemon) tick(ctx context.Context) {
 	next := time.Now().Add(housekeepingInterval)
 	pauses := newPauseClock()
-	for round := 0; ctx.Err() == nil; round++ {
+	var rounds rounds
+	for ctx.Err() == nil {
 		sleep(ctx, beaconInterval)
-		if round%farBeacons == 0 {
-			d.gossip.Send(d.members.addresses())
-		} else {
-			d.gossip.Send(d.members.near(d.settings.Load().Domain))
+		for _, one := range rounds.next(d.members.split(d.settings.Load().Domain)) {
+			d.gossip.Send(one.addresses, one.period)
 		}
 		d.state.expire()
 		d.report(d.local.Load())
@@ -234,6 +236,12 @@
 	d.log.Debug("beacon failed", zap.Error(err))
 }
 
+// draw returns some of the addresses at random.
+func draw(addresses []string, count int) []string {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
+
 // sleep waits for the span or the end of the context.
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -73,10 +73,18 @@
 	if found && (beacon.Boot < known.Boot || beacon.Boot == known.Boot && beacon.Sequence <= known.Sequence) {
 		return false
 	}
+	if beacon.Load.Period == 0 {
+		beacon.Load.Period = known.Load.Period
+	}
 	m.heard[beacon.Address] = beacon
 	return true
 }
 
+// life returns how long a beacon counts.
+func life(beacon control.Beacon) time.Duration {
+	return max(shortestBeaconLife, beaconLife*beacon.Load.Period)
+}
+
 // near returns the control addresses of the daemons heard in the failure
 // domain.
 func (m *members) near(domain id.Domain) []string {
@@ -98,7 +106,7 @@
 	defer m.mu.Unlock()
 	all := slices.Clone(m.listed)
 	for address, beacon := range m.heard {
-		if now.Sub(beacon.Received) > memberLife {
+		if now.Sub(beacon.Received) > max(memberLife, life(beacon)) {
 			delete(m.heard, address)
 			continue
 		}
@@ -128,7 +136,7 @@
 	first := true
 	for _, beacon := range m.heard {
 		same := beacon.Domain == domain
-		if same && now.Sub(beacon.Received) < beaconLife && beacon.Address < m.self {
+		if same && now.Sub(beacon.Received) < life(beacon) && beacon.Address < m.self {
 			first = false
 		}
 		switch {
@@ -170,7 +178,7 @@
 		age := now.Sub(beacon.Received)
 		others = append(others, mirror.Daemon{
 			Address: beacon.Address, Domain: beacon.Domain, Link: beacon.Link,
-			Fresh: age < beaconLife && beacon.ReadAge+age < freshAge,
+			Fresh: age < life(beacon) && beacon.ReadAge+age < freshAge+beacon.Load.Period,
 		})
 	}
 	return mirror.Reads(mirror.Daemon{Address: m.self, Domain: domain, Link: rate}, others)
