--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -42,10 +42,8 @@
 	// tryInterval is how long a daemon leaves a backend server without a request
 	// at most, if it has free slots: what is never tried is never known.
 	tryInterval = 2 * time.Second
-	// farPenalty is added for another failure domain, in service times: the links
-	// between failure domains are the scarce ones, so work leaves the own one when
-	// the answer is that much earlier elsewhere.
-	farPenalty = 0.12
+	// farPenalty is added for another failure domain, whose network is slower.
+	farPenalty = 5 * time.Millisecond
 	// farLargePenalty is added for long answers instead, because the links
 	// between failure domains are the scarce ones.
 	farLargePenalty = 400 * time.Millisecond
@@ -372,7 +370,7 @@
 		expected = max(expected, one.report.LinkWait+time.Duration(one.sent)*one.report.Transfer) + one.report.Transfer
 	}
 	if one.server.Domain != c.domain {
-		expected += time.Duration(farPenalty * float64(service))
+		expected += farPenalty
 		if request.Large {
 			expected += farLargePenalty
 		}
