--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -42,7 +42,7 @@
 			}
 		}
 		if refused == nil || reached(refused) {
-			if j.record.Arrivals >= j.route.Attempts || !budget.Take(h.options.Now(), mayHaveRun(refused)) {
+			if j.record.Arrivals >= j.route.Attempts || !budget.Take(h.options.Now()) {
 				break
 			}
 		}
@@ -51,11 +51,6 @@
 	return failed, unless(failed, last)
 }
 
-// mayHaveRun reports whether a backend server may have worked on the attempt.
-func mayHaveRun(refused *refusal.Error) bool {
-	return refused == nil || refused.Outcome != refusal.NotRun
-}
-
 // unless returns the refusal when there is no answer.
 func unless(answer *http1.Answer, refused *refusal.Error) *refusal.Error {
 	if answer != nil {
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -75,7 +75,7 @@
 	// Table returns the configuration in force, or nil.
 	Table func() *route.Table
 	// Budget returns the retry budget of a service.
-	Budget   func(service id.Service) *retry.Repeats
+	Budget   func(service id.Service) *retry.Budget
 	Recorder Recorder
 	// Link is the account of the long answers of this host.
 	Link *link.Link
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -33,7 +33,7 @@
 	calls    []relay.Call
 	offered  []backend.ID
 	records  []Record
-	budget   *retry.Repeats
+	budget   *retry.Budget
 	table    *route.Table
 	link     *link.Link
 }
@@ -103,12 +103,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{outcomes: outcomes, link: link.New(100_000), table: table, budget: retry.NewRepeats(50, 50)}
+	w := &world{outcomes: outcomes, link: link.New(100_000), table: table, budget: retry.NewBudget(50, retry.WithMinimum(0))}
 	start := time.Now()
 	return w, New(Options{
 		Service: func() id.Service { return "depot" }, Dialect: w, Chooser: w, Sender: w, Recorder: w,
 		Table:  func() *route.Table { return w.table },
-		Budget: func(id.Service) *retry.Repeats { return w.budget },
+		Budget: func(id.Service) *retry.Budget { return w.budget },
 		RunOf:  func(string) Run { return nil },
 		Local:  func() backend.ID { return "" },
 		Link:   w.link,
@@ -178,7 +178,7 @@
 func TestRepeatsKeepTheBudget(t *testing.T) {
 	is := is.New(t)
 	w, handler := newWorld(t, outcome{refused: refusal.New(refusal.BackendBroken, refusal.Unknown)})
-	w.budget = retry.NewRepeats(20, 10)
+	w.budget = retry.NewBudget(10, retry.WithMinimum(0))
 	const requests = 200
 	for range requests {
 		handler.Serve(context.Background(), request(http.MethodGet, "/stock/", ""))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -64,12 +64,10 @@
 	headerTimeout = 10 * time.Second
 	// maxHeader bounds a header, above what configurations allow.
 	maxHeader = 64 << 10
-	// retryShare is the share of the platform's retry ratio that is used for all
-	// repeats, rerunShare the part of it for repeats after an attempt that may have
-	// run. The calls of such a repeat count at the service that is called, so the
-	// two together must stay below one; the rest is for budgets saved up.
-	retryShare = 0.6
-	rerunShare = 0.3
+	// retryShare is the share of the platform's retry ratio that is used. A
+	// repeat also repeats the calls that its run makes, which count at the
+	// service that is called.
+	retryShare = 0.4
 	percent    = 100
 	// laneShare is the part of the host's link that long answers use. The rest is
 	// for requests, headers, beacons and acknowledgements.
@@ -115,7 +113,7 @@
 	lastClient atomic.Int64
 
 	budgetsMu sync.Mutex
-	budgets   map[id.Service]*retry.Repeats
+	budgets   map[id.Service]*retry.Budget
 }
 
 // New returns a daemon that has opened nothing yet.
@@ -132,7 +130,7 @@
 		mirror:      mirror.New(),
 		store:       platform.NewStore(settings.StoreAddress),
 		chooser:     placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
-		budgets:     map[id.Service]*retry.Repeats{},
+		budgets:     map[id.Service]*retry.Budget{},
 	}
 	d.settings.Store(&settings)
 	d.requests = newRequestLog(log.Named("request"), metrics)
@@ -180,13 +178,13 @@
 }
 
 // budget returns the retry budget of a service.
-func (d *Daemon) budget(service id.Service) *retry.Repeats {
+func (d *Daemon) budget(service id.Service) *retry.Budget {
 	d.budgetsMu.Lock()
 	defer d.budgetsMu.Unlock()
 	budget := d.budgets[service]
 	if budget == nil {
-		ratio := d.settings.Load().RetryRatio * percent
-		budget = retry.NewRepeats(int(retryShare*ratio), int(rerunShare*ratio))
+		share := int(d.settings.Load().RetryRatio * retryShare * percent)
+		budget = retry.NewBudget(share, retry.WithMinimum(0))
 		d.budgets[service] = budget
 	}
 	return budget
