Add a fault soak of the daemons of the users' platform

Cause: the users ask for a randomized soak that harms the real programs from outside and checks the promises while faults overlap. Ruled out: the experiments of bench/record and bench/converge, which run the product's own daemon and have no overlapping faults. Before: none.

--- a/cmd/marjoramsaddle-bench/main.go
+++ b/cmd/marjoramsaddle-bench/main.go
@@ -31,7 +31,7 @@
 		Short:        "Run experiments and print their results as JSON",
 		SilenceUsage: true,
 	}
-	cmd.AddCommand(convergeCommand(), loadCommand(), sweepCommand(), layoutCommand(), recordCommand(), capacityCommand())
+	cmd.AddCommand(convergeCommand(), loadCommand(), sweepCommand(), layoutCommand(), recordCommand(), capacityCommand(), soakCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/marjoramsaddle-bench/soak.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"marjoramsaddle/bench/process"
+	"marjoramsaddle/bench/soak"
+)
+
+var errBroken = errors.New("a promise was broken; the report names the seed, and the logs are kept")
+
+func soakCommand() *cobra.Command {
+	var first uint64
+	var seeds, atOnce int
+	var duration time.Duration
+	var logs string
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Harm daemons of the users' platform from outside and check their promises",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			program, err := process.Sibling("marjoramsaddle-sidecar")
+			if err != nil {
+				return err
+			}
+			group, ctx := errgroup.WithContext(cmd.Context())
+			group.SetLimit(atOnce)
+			reports := make([]soak.Report, seeds)
+			for i := range reports {
+				group.Go(func() error {
+					seed := first + uint64(i)
+					folder := filepath.Join(logs, fmt.Sprint("seed-", seed))
+					if err := os.MkdirAll(folder, 0o700); err != nil {
+						return err
+					}
+					reports[i], err = soak.Run(ctx, soak.Options{Program: program, Folder: folder, Seed: seed, Duration: duration})
+					if err == nil && len(reports[i].Broken) == 0 {
+						return os.RemoveAll(folder)
+					}
+					return err
+				})
+			}
+			if err := group.Wait(); err != nil {
+				return err
+			}
+			if err := printJSON(cmd, reports); err != nil {
+				return err
+			}
+			for i := range reports {
+				if len(reports[i].Broken) > 0 {
+					return errBroken
+				}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().Uint64Var(&first, "first", 1, "first seed")
+	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
+	cmd.Flags().IntVar(&atOnce, "at-once", 3, "seeds played at the same time")
+	cmd.Flags().DurationVar(&duration, "duration", 10*time.Second, "time with faults for each seed")
+	cmd.Flags().StringVar(&logs, "logs", filepath.Join(os.TempDir(), "marjoramsaddle-soak"), "folder for settings and logs, kept for seeds that fail")
+	return cmd
+}
