End the turn of a long answer whose receiver does not read

Cause: found by reading: two clients that do not read, or two hosts that are cut off in the middle of a transfer, would keep both turns of the lane, and all downloads of the host would wait. On fast links 4 KB chunks also mean a timer for each 38 microseconds. Ruled out: a deadline of the connection's writes (answers that are ready are delivered, also late). The bound is several times what the transfer takes; the writer that is stuck goes on without a turn.

--- a/io/lane/lane.go
+++ b/io/lane/lane.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -23,12 +24,18 @@
 	// Long is the size in bytes above which an answer is long. Lookups and orders
 	// of both users have up to 30 KB, downloads 90 KB on average.
 	Long = 32 << 10
-	// chunk is what is sent of a long answer at a time. On a link of 6 Mbit/s it
-	// takes 5 ms, which is what other messages may have to wait.
-	chunk = 4 << 10
+	// chunkTime is how long the part of a long answer that is sent at a time takes,
+	// which is what other messages may have to wait; shortestChunk is its least
+	// size in bytes.
+	chunkTime     = 5 * time.Millisecond
+	shortestChunk = 4 << 10
 	// transfers is the number of long answers that are sent at a time. A second
 	// one uses the link while the receiver of the first is slow.
 	transfers = 2
+	// turnFactor and turnMargin bound the time of a turn, from that of the
+	// transfer alone. A receiver that does not read must not hold up the others.
+	turnFactor = 2 * transfers
+	turnMargin = 500 * time.Millisecond
 )
 
 // Lane is safe for concurrent use.
@@ -36,16 +43,21 @@
 	account *link.Link
 	limiter *rate.Limiter
 	turns   *semaphore.Weighted
+	chunk   int
 }
 
 // New returns a lane that sends at the given rate at most, and keeps the account
 // of what it still has to send. A rate of zero is unlimited.
 func New(account *link.Link, limit link.Rate) *Lane {
-	l := &Lane{account: account, limiter: rate.NewLimiter(rate.Inf, Long), turns: semaphore.NewWeighted(transfers)}
+	chunk := max(shortestChunk, int(float64(limit)*chunkTime.Seconds()))
+	pace := rate.Inf
 	if limit > 0 {
-		l.limiter.SetLimit(rate.Limit(limit))
+		pace = rate.Limit(limit)
+	}
+	return &Lane{
+		account: account, limiter: rate.NewLimiter(pace, max(Long, chunk)),
+		turns: semaphore.NewWeighted(transfers), chunk: chunk,
 	}
-	return l
 }
 
 // Account returns the account of the long answers.
@@ -64,9 +76,15 @@
 	if err := l.turns.Acquire(ctx, 1); err != nil {
 		return err
 	}
-	defer l.turns.Release(1)
+	leave := sync.OnceFunc(func() { l.turns.Release(1) })
+	defer leave()
+	expiry := time.AfterFunc(l.longestTurn(len(body)), func() {
+		leave()
+		booking.Close()
+	})
+	defer expiry.Stop()
 	for len(body) > 0 {
-		part := body[:min(chunk, len(body))]
+		part := body[:min(l.chunk, len(body))]
 		if err := l.limiter.WaitN(ctx, len(part)); err != nil {
 			return err
 		}
@@ -78,3 +96,11 @@
 	}
 	return nil
 }
+
+// longestTurn returns how long an answer of the size may keep its turn.
+func (l *Lane) longestTurn(size int) time.Duration {
+	if l.limiter.Limit() == rate.Inf {
+		return turnMargin
+	}
+	return turnMargin + time.Duration(turnFactor*float64(size)/float64(l.limiter.Limit())*float64(time.Second))
+}
--- a/io/lane/lane_test.go
+++ b/io/lane/lane_test.go
@@ -71,5 +71,27 @@
 	is.NoErr(idle.Write(context.Background(), io.Discard, make([]byte, Long), nil))
 	began = time.Now()
 	is.NoErr(idle.Write(context.Background(), io.Discard, make([]byte, 2*Long), nil))
-	is.True(time.Since(began) >= (2*Long-chunk)*time.Second/limit)
+	is.True(time.Since(began) >= (2*Long-shortestChunk)*time.Second/limit)
+}
+
+// Guards against clients that do not read, or hosts that are cut off, holding up
+// all other downloads of the host.
+func TestReceiversThatDoNotReadLoseTheirTurn(t *testing.T) {
+	is := is.New(t)
+	const limit = 1_000_000
+	account := link.New(limit)
+	l := New(account, limit)
+	var stuck sync.WaitGroup
+	defer stuck.Wait()
+	for range transfers {
+		reader, writer := io.Pipe()
+		defer func() { _ = reader.Close() }()
+		booking, _ := account.Book(0, time.Hour)
+		stuck.Go(func() { is.True(l.Write(context.Background(), writer, make([]byte, 2*Long), booking) != nil) })
+	}
+	time.Sleep(10 * time.Millisecond)
+	began := time.Now()
+	is.NoErr(l.Write(context.Background(), io.Discard, make([]byte, 2*Long), nil))
+	is.True(time.Since(began) < turnMargin+2*time.Second)
+	is.Equal(account.Wait(), time.Duration(0))
 }
