Give a refusal for the link a reason and a log line of its own

Cause: a download that a host refused because its link is busy was logged by the daemon that took it as queue_deadline, which points to slots, and not at all by the host that refused it. Ruled out: a field beside queue_deadline (the remedy differs). Before: no line at the host; reason queue_deadline. After: reason link_busy, and offer not served with link_wait and failures (TestDownloadsAreRefusedForTheLink).

--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -46,6 +46,7 @@
 	TooManyLinks                    // too_many_links
 	Busy                            // busy
 	CallerGone                      // caller_gone
+	LinkBusy                        // link_busy
 	reasonCount                     // end
 )
 
--- a/core/refusal/refusal_string.go
+++ b/core/refusal/refusal_string.go
@@ -33,12 +33,13 @@
 	_ = x[TooManyLinks-22]
 	_ = x[Busy-23]
 	_ = x[CallerGone-24]
-	_ = x[reasonCount-25]
+	_ = x[LinkBusy-25]
+	_ = x[reasonCount-26]
 }
 
-const _Reason_name = "noneno_configurationfloor_unknownresyncingno_routeno_endpointleavingqueue_fullqueue_deadlinedeadline_passedrate_limitedbody_too_largebad_requestdepth_exceededconnect_failedbackend_shedbackend_brokenhop_brokenretry_budget_spentin_progressrecord_unavailablewrong_identitytoo_many_linksbusycaller_goneend"
+const _Reason_name = "noneno_configurationfloor_unknownresyncingno_routeno_endpointleavingqueue_fullqueue_deadlinedeadline_passedrate_limitedbody_too_largebad_requestdepth_exceededconnect_failedbackend_shedbackend_brokenhop_brokenretry_budget_spentin_progressrecord_unavailablewrong_identitytoo_many_linksbusycaller_gonelink_busyend"
 
-var _Reason_index = [...]uint16{0, 4, 20, 33, 42, 50, 61, 68, 78, 92, 107, 119, 133, 144, 158, 172, 184, 198, 208, 226, 237, 255, 269, 283, 287, 298, 301}
+var _Reason_index = [...]uint16{0, 4, 20, 33, 42, 50, 61, 68, 78, 92, 107, 119, 133, 144, 158, 172, 184, 198, 208, 226, 237, 255, 269, 283, 287, 298, 307, 310}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/refusal/remedy.go
+++ b/core/refusal/remedy.go
@@ -25,6 +25,7 @@
 	TooManyLinks:      "dial another peer",
 	Busy:              "retry after the given time",
 	CallerGone:        "none is needed",
+	LinkBusy:          "retry later or give the host a faster link",
 }
 
 // Remedy says what the caller or operator can do about the refusal.
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -130,7 +130,7 @@
 
 // full reports whether the backend server may take the request a little later.
 func full(reason refusal.Reason) bool {
-	return reason == refusal.QueueFull || reason == refusal.QueueDeadline
+	return reason == refusal.QueueFull || reason == refusal.QueueDeadline || reason == refusal.LinkBusy
 }
 
 func resultOf(answer *http1.Answer, refused *refusal.Error) placement.Result {
@@ -141,7 +141,7 @@
 		return placement.Served
 	}
 	switch refused.Reason {
-	case refusal.QueueFull, refusal.QueueDeadline:
+	case refusal.QueueFull, refusal.QueueDeadline, refusal.LinkBusy:
 		return placement.Refused
 	case refusal.ConnectFailed, refusal.BackendBroken, refusal.HopBroken, refusal.BackendShed,
 		refusal.NoEndpoint, refusal.Leaving, refusal.WrongIdentity:
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -214,7 +214,7 @@
 	booking, booked := h.options.Link.Book(transfer, wait.Longest())
 	if !booked {
 		j.record.Expected = h.options.Link.Wait()
-		return refusal.New(refusal.QueueDeadline, refusal.NotRun)
+		return refusal.New(refusal.LinkBusy, refusal.NotRun)
 	}
 	j.booking = booking
 	return nil
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -69,6 +69,9 @@
 type Local interface {
 	Send(ctx context.Context, call Call, request *http1.Request) (*http1.Answer, *refusal.Error)
 	Load() placement.Report
+	// Refuse notes that the request is refused before it is sent, and returns the
+	// refusal.
+	Refuse(call Call, request *http1.Request, refused *refusal.Error) *refusal.Error
 }
 
 func (c Call) write(header http.Header) {
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -45,7 +45,7 @@
 	if call.Large {
 		booked, ok := h.lane.Account().Book(h.local.Load().Service, h.longestWait(call))
 		if !ok {
-			h.refuse(w, refusal.New(refusal.QueueDeadline, refusal.NotRun))
+			h.refuse(w, h.local.Refuse(call, request, refusal.New(refusal.LinkBusy, refusal.NotRun)))
 			return
 		}
 		defer booked.Close()
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -167,10 +167,18 @@
 // answer.
 func (s *Server) Send(ctx context.Context, call relay.Call, request *http1.Request) (*http1.Answer, *refusal.Error) {
 	answer, refused := s.send(ctx, call, request)
-	if refused != nil && s.options.Refused != nil {
+	if refused != nil {
+		return nil, s.Refuse(call, request, refused)
+	}
+	return answer, nil
+}
+
+// Refuse notes that the request gets no answer here, and returns the refusal.
+func (s *Server) Refuse(call relay.Call, request *http1.Request, refused *refusal.Error) *refusal.Error {
+	if s.options.Refused != nil {
 		s.options.Refused(s.options.Dialect.RequestID(request.Header), call, refused)
 	}
-	return answer, refused
+	return refused
 }
 
 func (s *Server) send(ctx context.Context, call relay.Call, request *http1.Request) (*http1.Answer, *refusal.Error) {
