Put a configuration in force after the backend servers of its listing

A daemon that took over a listing put the configuration in force, which makes it ready, before the backend servers were handed to the choice; a request in between found none. Ruled out: the store stand-in (one page holds the listing), the neighbour (its copy was whole when the daemon fetched it). Before: TestServersAreKnownBeforeTheConfiguration fails. After: it passes, and TestStartWithoutTheStore passed five times with the race detector on the same busy machine.

--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -44,17 +44,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.d.now()
+	table := s.d.table.Load()
 	for i := range items {
-		s.applyOne(&items[i], now)
+		if s.decoder.IsConfiguration(items[i].Key) {
+			table = s.newer(table, &items[i])
+			continue
+		}
+		s.applyServer(&items[i], now)
 	}
+	// Routes come into force after the backend servers that they lead to.
 	s.publish()
+	s.enforce(table)
 }
 
-func (s *state) applyOne(item *mirror.Item, now id.Instant) {
-	if s.decoder.IsConfiguration(item.Key) {
-		s.applyConfiguration(item)
+// enforce puts a configuration in force.
+func (s *state) enforce(table *route.Table) {
+	if table == s.d.table.Swap(table) {
 		return
 	}
+	s.d.local.SetConnections(table.Services[s.d.settings.Load().Service].Connections)
+	s.d.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)), zap.Int("routes", table.Routes()))
+}
+
+func (s *state) applyServer(item *mirror.Item, now id.Instant) {
 	name, isServer := s.decoder.ServerID(item.Key)
 	if !isServer {
 		return
@@ -78,29 +90,28 @@
 	}
 }
 
-func (s *state) applyConfiguration(item *mirror.Item) {
+// newer returns the configuration of the item if it is valid and newer than the
+// former one, and the former one otherwise.
+func (s *state) newer(former *route.Table, item *mirror.Item) *route.Table {
 	if item.Deleted {
 		s.d.log.Warn("configuration deleted; the former one stays", zap.Uint64("revision", uint64(item.Revision)))
-		return
+		return former
 	}
 	decoded, err := s.decoder.Configuration(item.Value)
 	if err != nil {
 		s.d.log.Warn("configuration refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
-		return
+		return former
 	}
-	former := s.d.table.Load()
 	if former != nil && decoded.Version <= former.Version {
-		return
+		return former
 	}
 	table, err := route.NewTable(decoded)
 	if err != nil {
 		s.d.log.Warn("configuration refused", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
-		return
+		return former
 	}
-	s.d.table.Store(table)
-	s.d.local.SetConnections(table.Services[s.d.settings.Load().Service].Connections)
-	s.d.log.Info("configuration in force", zap.Uint64("version", uint64(table.Version)),
-		zap.Int("routes", table.Routes()), zap.Uint64("revision", uint64(item.Revision)))
+	s.d.log.Info("configuration accepted", zap.Uint64("version", uint64(table.Version)), zap.Uint64("revision", uint64(item.Revision)))
+	return table
 }
 
 // publish hands the servers to those who use them.
