--- a/sidecar/state_test.go
+++ b/sidecar/state_test.go
@@ -32,11 +32,13 @@
 		return data
 	}
 	route := platformtest.Route("stock", "/stock/", "safe", "counter", time.Second, 2)
-	items := []mirror.Item{{
+	const servers = 2000
+	items := make([]mirror.Item, 0, servers+1)
+	items = append(items, mirror.Item{
 		Key: platformtest.ConfigurationKey, Revision: 1,
 		Value: encode(platformtest.Configuration("r1", []string{"counter"}, route)),
-	}}
-	for i := range 2000 {
+	})
+	for i := range servers {
 		listed := platformtest.Backend{Name: fmt.Sprint("i-", i), Service: "counter", Address: fmt.Sprintf("127.0.%d.%d:3", i/200, i%200+1)}
 		items = append(items, mirror.Item{
 			Key: platformtest.ServerPrefix + listed.Name, Revision: mirror.Revision(i + 2), Value: encode(listed.Entry("reduit", "ready", 4)),
