Take the ports of the fleet tests from below those of outgoing connections

A port that was free at 127.0.0.1 was in use at another loopback address by an outgoing connection, so a daemon of the test never started. After: ports lie below the system's range for outgoing connections; the checks and bounds of the tests are unchanged.

--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -61,7 +61,7 @@
 	t.Cleanup(f.store.Close)
 	t.Cleanup(f.end)
 	for i := range f.ports {
-		f.ports[i] = freePort(t)
+		f.ports[i] = firstPort + os.Getpid()%portBlocks*len(f.ports) + i
 	}
 	for i, service := range services {
 		f.add(fmt.Sprintf("i-%d", i), service)
@@ -69,15 +69,12 @@
 	return f
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
-}
+// firstPort lies below the ports that the system gives to outgoing connections.
+// Those may be in use at any loopback address: a daemon met one at its start.
+const (
+	firstPort  = 24_000
+	portBlocks = 1_500
+)
 
 func (f *fleet) address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, f.ports[port]) }
 
