--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -183,7 +183,7 @@
 	c.Report(grey)
 	c.Report(sound)
 	is.Equal(choose(t, c, Request{Now: now}, 20)["sound"], 20)
-	is.Equal(untried([]*state{c.servers["grey"]}, now.Add(tryInterval)), nil)
+	is.True(!c.servers["grey"].untried(&Request{Now: now.Add(tryInterval)}, now))
 	sound.Queued = 40
 	c.Report(sound)
 	is.Equal(choose(t, c, Request{Now: now}, 20)["grey"], 20)
