Spread loads by bounded gossip instead of beacons from everybody to everybody

Cause: each daemon sent up to 30 beacons in each round of 100 ms, 58,500 a second in a fleet of 195, half of them between failure domains, and worked on as many. The lists of members, readers and daemons that are ahead were made anew up to 50 times a second, partly with quadratic cost. Ruled out: fewer beacons of the same kind; loads would be older than a slot's time. Summaries per failure domain alone; a choice needs the load of a server. Before: 300 beacons a second sent by each of 195 daemons (TestRoundsAreBounded of the former code); loads of other failure domains every 1.1 s. A failure domain of which nothing is heard for 1.5 s counts as cut off at once.

--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -29,6 +29,9 @@
 	// cut off, silentPeriods the number of its periods; single reports are lost.
 	silentAfter   = time.Second
 	silentPeriods = 3
+	// domainSilentAfter is silentAfter for a whole failure domain. News of one of
+	// its servers reaches every daemon within half a second.
+	domainSilentAfter = 1500 * time.Millisecond
 	// reportLife is how long a report of a load counts, at least and in periods.
 	reportLife        = 2 * time.Second
 	reportLifePeriods = 4
@@ -68,7 +71,11 @@
 // while before the latest report of any, though it did earlier. Where nothing at
 // all is heard, silence does not tell one server from another.
 func (s *state) silent(heard id.Instant) bool {
-	return s.report.At > 0 && heard.Sub(s.report.At) > max(silentAfter, silentPeriods*s.report.Period)
+	if s.report.At == 0 {
+		return false
+	}
+	return heard.Sub(s.report.At) > max(silentAfter, silentPeriods*s.report.Period) ||
+		heard.Sub(*s.domainHeard) > domainSilentAfter
 }
 
 // known reports whether the latest report still counts.
@@ -90,7 +97,7 @@
 	service := c.serviceTime(one)
 	load, slots := one.pending, max(1, one.server.Slots)
 	if one.known(request.Now) {
-		load = max(one.report.Running+one.report.Queued+one.sent, one.pending)
+		load = max(one.report.Running+one.report.Queued+len(one.sent), one.pending)
 		slots = max(1, one.report.Slots)
 	}
 	if request.Now.Before(one.server.ColdUntil) {
@@ -105,7 +112,7 @@
 	busy := time.Duration(busyShare * math.Pow(used, busyPower) * float64(service))
 	expected := wait + service + busy + one.failureCost(service, request.Now)
 	if request.Large && one.server.ID != request.Local {
-		expected = max(expected, one.report.LinkWait+time.Duration(one.sent)*one.report.Transfer) + one.report.Transfer
+		expected = max(expected, one.report.LinkWait+time.Duration(len(one.sent))*one.report.Transfer) + one.report.Transfer
 	}
 	if one.server.Domain != c.domain {
 		expected += farPenalty
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -28,6 +28,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,9 @@
 	// refused for want of room, in service times. With five slots or more one is
 	// free by then on average.
 	refusedShare = 0.2
+	// sentKept bounds the requests of this daemon that are counted on top of a
+	// report; slots are fewer.
+	sentKept = 256
 )
 
 // Result is how an attempt ended.
@@ -114,20 +118,26 @@
 	random   *rand.Rand
 	servers  map[backend.ID]*state
 	services map[id.Service]*group
-	// heard is when the latest report of any server arrived.
-	heard id.Instant
+	// heard is when the latest report of any server was made, and domains when the
+	// latest one of each failure domain was.
+	heard   id.Instant
+	domains map[id.Domain]*id.Instant
 }
 
 type state struct {
 	server backend.Server
 	report Report
-	// pending counts the own requests under way, sent those since the report.
+	// pending counts the own requests under way.
 	pending int
-	sent    int
+	// sent holds when the own requests left that the report does not count.
+	sent []id.Instant
 	// started is when this daemon last sent a request there.
 	started id.Instant
 	strikes int
 	passed  id.Instant
+	// domainHeard is when the latest report of the server's failure domain was
+	// made.
+	domainHeard *id.Instant
 	// grouped is set while the server is one of the group of its service.
 	grouped bool
 }
@@ -139,6 +149,7 @@
 		random:   rand.New(rand.NewPCG(seed, seed)), //nolint:gosec // Load is spread with it, nothing is secured.
 		servers:  map[backend.ID]*state{},
 		services: map[id.Service]*group{},
+		domains:  map[id.Domain]*id.Instant{},
 	}
 }
 
@@ -158,6 +169,7 @@
 			one = &state{}
 		}
 		one.server, one.grouped = *server, false
+		one.domainHeard = c.heardOf(server.Domain)
 		c.servers[server.ID] = one
 		if server.State == backend.Ready {
 			c.groupOf(server.Service, former).add(one, server.Domain == c.domain)
@@ -165,6 +177,13 @@
 	}
 }
 
+func (c *Chooser) heardOf(domain id.Domain) *id.Instant {
+	if c.domains[domain] == nil {
+		c.domains[domain] = new(id.Instant)
+	}
+	return c.domains[domain]
+}
+
 // groupOf returns the group of the service, which goes on with the trials of its
 // former one.
 func (c *Chooser) groupOf(service id.Service, former map[id.Service]*group) *group {
@@ -197,8 +216,9 @@
 		group.told.replace(one.report.Service, report.Service)
 	}
 	c.heard = max(c.heard, report.At)
+	*one.domainHeard = max(*one.domainHeard, report.At)
 	one.report = report
-	one.sent = 0
+	one.sent = slices.DeleteFunc(one.sent, func(at id.Instant) bool { return at <= report.At })
 }
 
 // Started records that a request goes to the backend server.
@@ -208,7 +228,9 @@
 	if one := c.servers[server]; one != nil {
 		one.started = now
 		one.pending++
-		one.sent++
+		if len(one.sent) < sentKept {
+			one.sent = append(one.sent, now)
+		}
 	}
 }
 
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -12,38 +12,86 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/core/gossip"
+	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/io/http1"
 )
 
+// received is when the beacons of these tests arrive.
+const received = id.Instant(time.Hour)
+
 // Guards against a load or revision that changes on the way, and against texts
 // or counts that do not fit.
 func TestBeacon(t *testing.T) {
 	is := is.New(t)
 	sent := Beacon{
 		Domain: "reduit", Boot: 7, Sequence: 9, Revision: 1 << 40, StoreAge: 20 * time.Millisecond, ReadAge: 3 * time.Second, Link: 750_000,
+		Period: 200 * time.Millisecond, Received: received,
 		Load: placement.Report{
 			Server: "i-1", Running: 3, Queued: 70000, Slots: 18, Service: 150 * time.Millisecond, Leaving: true,
-			Failures: 0.25, Period: 200 * time.Millisecond, LinkWait: 400 * time.Millisecond, Transfer: 120 * time.Millisecond,
+			Failures: 0.25, LinkWait: 400 * time.Millisecond, Transfer: 120 * time.Millisecond, At: received,
+		},
+		Near: []placement.Report{{Server: "i-2", Running: 1, Slots: 18, At: received.Add(-300 * time.Millisecond)}},
+		Far: []placement.Report{
+			{Server: "i-3", Running: 2, Slots: 18, At: received.Add(-time.Second)},
+			{Server: "i-4", Failures: 0.5, Slots: 18, At: received.Add(-2 * time.Second)},
 		},
+		Readers: []Reader{{Address: "10.0.0.1:80", Domain: "ebene", Link: 1_250_000, ReadAt: received.Add(-40 * time.Millisecond)}},
 	}
-	got, err := decodeBeacon(encodeBeacon(sent))
+	got, err := decodeBeacon(encodeBeacon(&sent, received), received)
 	is.NoErr(err)
 	sent.Load.Queued = 65535
 	is.Equal(got, sent)
 	sent.Load.Queued = -1
-	got, err = decodeBeacon(encodeBeacon(sent))
+	got, err = decodeBeacon(encodeBeacon(&sent, received), received)
 	is.NoErr(err)
 	is.Equal(got.Load.Queued, 0)
+	// Ages go on on the way: a copy is as old as the news that it carries.
+	sent.Load.At = received.Add(-250 * time.Millisecond)
+	got, err = decodeBeacon(encodeBeacon(&sent, received), received.Add(time.Hour))
+	is.NoErr(err)
+	is.Equal(got.Load.At, received.Add(time.Hour-250*time.Millisecond))
+}
+
+// Guards against a full beacon that does not fit into a datagram, and against
+// one whose lists are longer than what a daemon sends.
+func TestBeaconIsBounded(t *testing.T) {
+	is := is.New(t)
+	const name = "i-0123456789abcdef"
+	beacon := Beacon{Domain: "failure-domain-a", Load: placement.Report{Server: name}}
+	for range gossip.NearReports {
+		beacon.Near = append(beacon.Near, placement.Report{Server: name, At: received})
+	}
+	for range gossip.FarReports {
+		beacon.Far = append(beacon.Far, placement.Report{Server: name, At: received})
+	}
+	for range 4 {
+		beacon.Readers = append(beacon.Readers, Reader{Address: "100.100.100.100:65535", Domain: "failure-domain-a", ReadAt: received})
+	}
+	data := encodeBeacon(&beacon, received)
+	const largestPayload = 1472
+	is.True(len(data) <= largestPayload)
+	is.True(len(data) <= maxBeacon)
+	for i := range data {
+		_, err := decodeBeacon(data[:i], received)
+		is.True(err != nil)
+	}
+	beacon.Near = make([]placement.Report, 1000)
+	got, err := decodeBeacon(encodeBeacon(&beacon, received), received)
+	is.NoErr(err)
+	is.Equal(len(got.Near), maxListed)
 }
 
 // Guards against a crash of a daemon by a foreign datagram.
 func FuzzDecodeBeacon(f *testing.F) {
-	f.Add(encodeBeacon(Beacon{Domain: "reduit", Load: placement.Report{Server: "i-1"}}))
+	f.Add(encodeBeacon(&Beacon{
+		Domain: "reduit", Load: placement.Report{Server: "i-1"}, Near: []placement.Report{{Server: "i-2"}}, Readers: []Reader{{Address: "a"}},
+	}, received))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		if beacon, err := decodeBeacon(data); err == nil {
-			if _, err := decodeBeacon(encodeBeacon(beacon)); err != nil {
+		if beacon, err := decodeBeacon(data, received); err == nil {
+			if _, err := decodeBeacon(encodeBeacon(&beacon, received), received); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/io/control/gossip.go
+++ b/io/control/gossip.go
@@ -1,6 +1,7 @@
 // Package control carries the daemons' own protocol. Each daemon sends a short
 // beacon with its revision of the store and the load of its backend server to
-// others at short intervals (UDP), and serves the changes of the store that it
+// some others at short intervals (UDP), together with the latest loads that it
+// has heard, and serves the changes of the store that it
 // knows (HTTP over TCP). A daemon that hears of a newer revision than its own
 // fetches the changes from the sender, so one daemon that reads the store
 // brings all others up to date.
@@ -9,7 +10,7 @@
 //
 //	gossip := control.NewGossip(conn, control.GossipOptions{...})
 //	go gossip.Receive()
-//	gossip.Send(addresses, period)
+//	gossip.Send(addresses, &control.News{Period: period})
 //	http.Serve(listener, control.NewHandler(mirror))
 package control
 
@@ -19,13 +20,15 @@
 	"time"
 
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/placement"
 )
 
 // GossipOptions of a Gossip.
 type GossipOptions struct {
+	// Self returns what this daemon tells of itself.
 	Self func() Beacon
 	// Heard takes in the beacons of others.
-	Heard func(Beacon)
+	Heard func(*Beacon)
 	Now   func() id.Instant
 	// Failed is told of beacons that cannot be read or sent.
 	Failed func(error)
@@ -59,27 +62,34 @@
 			time.Sleep(receivePause)
 			continue
 		}
-		beacon, err := decodeBeacon(buffer[:n])
+		beacon, err := decodeBeacon(buffer[:n], g.options.Now())
 		if err != nil {
 			g.options.Failed(err)
 			continue
 		}
 		beacon.Address = from.String()
-		beacon.Received = g.options.Now()
-		beacon.Load.At = beacon.Received
-		g.options.Heard(beacon)
+		g.options.Heard(&beacon)
 	}
 }
 
-// Send sends one beacon to each of the addresses, which get one in every period.
-// A period of zero leaves the one that was told before as it is.
-func (g *Gossip) Send(addresses []string, period time.Duration) {
+// News is what goes to some daemons in one round beside the sender's own state.
+type News struct {
+	// Period is the time in which each receiver gets a beacon; zero leaves the
+	// one that was told before as it is.
+	Period time.Duration
+	// Near and Far are loads that others have told.
+	Near, Far []placement.Report
+	Readers   []Reader
+}
+
+// Send sends one beacon to each of the addresses.
+func (g *Gossip) Send(addresses []string, news *News) {
 	if len(addresses) == 0 {
 		return
 	}
 	beacon := g.options.Self()
-	beacon.Load.Period = period
-	data := encodeBeacon(beacon)
+	beacon.Period, beacon.Near, beacon.Far, beacon.Readers = news.Period, news.Near, news.Far, news.Readers
+	data := encodeBeacon(&beacon, g.options.Now())
 	for _, address := range addresses {
 		resolved, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"marjoramsaddle/core/gossip"
 	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/core/placement"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
 )
@@ -28,18 +31,17 @@
 	longestBackoff = 400 * time.Millisecond
 	// housekeepingInterval is how often idle connections are checked.
 	housekeepingInterval = time.Second
-	// fetchInterval is how often a daemon looks whether another one is ahead.
+	// fetchInterval is the time between two calls to daemons that are ahead.
 	fetchInterval = 20 * time.Millisecond
+	// newsInterval is how often a daemon looks whether another one is ahead
+	// without having heard so.
+	newsInterval = 100 * time.Millisecond
 	// nearGrace is how long changes are awaited from the own failure domain
 	// before they are fetched from another one.
 	nearGrace = 300 * time.Millisecond
 	// freshAge is the age of a daemon's news of the store up to which others
 	// leave the reading to it: a watch that hears nothing, and the way there.
 	freshAge = watchWait + 300*time.Millisecond
-	// beaconLife is how long a beacon counts, in periods of its sender, and at
-	// least; beacons may be lost.
-	beaconLife         = 2
-	shortestBeaconLife = 600 * time.Millisecond
 	// newsFanout is the number of daemons that are told at once of a new revision,
 	// drawn at random. Each of them tells as many, so the news reaches hundreds in
 	// a few steps without being sent to each by each.
@@ -61,7 +63,7 @@
 	for ctx.Err() == nil {
 		stale := d.stale.Swap(false)
 		synced = synced && !stale
-		if needed := stale || d.mirror.AsOf() == 0 || d.members.reads(d.settings.Load().Domain, d.settings.Load().LinkRate); needed != reading {
+		if needed := stale || d.mirror.AsOf() == 0 || d.members.reads(); needed != reading {
 			reading = needed
 			d.log.Info("store reader", zap.Bool("reading", reading), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 		}
@@ -112,7 +114,7 @@
 	d.state.confirmRead()
 	d.state.apply(applied)
 	if len(applied) > 0 {
-		d.gossip.Send(draw(d.members.addresses(), readerFanout), 0)
+		d.gossip.Send(draw(d.members.addresses(), readerFanout), d.readerNews())
 		sleep(ctx, batchPause)
 	}
 	return nil
@@ -147,13 +149,14 @@
 // followPeers fetches changes from other daemons that are ahead.
 func (d *Daemon) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, fetchInterval)
-		address, found := d.members.ahead(d.mirror.AsOf(), d.settings.Load().Domain)
+		address, found := d.members.ahead(d.mirror.AsOf())
 		if !found {
+			d.awaitNews(ctx)
 			continue
 		}
 		err := d.fetch(ctx, address)
 		if errors.Is(err, control.ErrBusy) {
+			sleep(ctx, fetchInterval)
 			continue
 		}
 		if err != nil {
@@ -163,6 +166,20 @@
 	}
 }
 
+// awaitNews waits until another daemon tells of a newer revision, or for the
+// interval after which a far daemon may be asked.
+func (d *Daemon) awaitNews(ctx context.Context) {
+	timer := time.NewTimer(newsInterval)
+	defer timer.Stop()
+	select {
+	case <-d.news:
+		// Further news may lie on the way.
+		sleep(ctx, fetchInterval)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (d *Daemon) fetch(ctx context.Context, address string) error {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -181,7 +198,8 @@
 	}
 	d.state.apply(applied)
 	if len(applied) > 0 {
-		d.gossip.Send(draw(d.members.near(d.settings.Load().Domain), newsFanout), 0)
+		near, _ := d.members.split()
+		d.gossip.Send(draw(slices.Clone(near), newsFanout), d.readerNews())
 	}
 	return nil
 }
@@ -190,12 +208,10 @@
 func (d *Daemon) tick(ctx context.Context) {
 	next := time.Now().Add(housekeepingInterval)
 	pauses := newPauseClock()
-	var rounds rounds
+	rounds := gossip.NewRounds(d.seed())
 	for ctx.Err() == nil {
-		sleep(ctx, beaconInterval)
-		for _, one := range rounds.next(d.members.split(d.settings.Load().Domain)) {
-			d.gossip.Send(one.addresses, one.period)
-		}
+		sleep(ctx, gossip.Interval)
+		d.tell(rounds.Next(d.members.split()))
 		d.state.expire()
 		d.report(d.local.Load())
 		if paused := pauses.since(); paused > longestPause {
@@ -210,6 +226,24 @@
 	}
 }
 
+// tell sends the beacons of one round.
+func (d *Daemon) tell(plan gossip.Plan) {
+	news := d.readerNews()
+	now := d.now()
+	d.boardsMu.Lock()
+	news.Near, news.Far = d.nearBoard.Take(now), d.farBoard.Take(now)
+	d.boardsMu.Unlock()
+	news.Period = plan.Near.Period
+	d.gossip.Send(plan.Near.Addresses, news)
+	news.Period, news.Far = plan.Far.Period, nil
+	d.gossip.Send(plan.Far.Addresses, news)
+}
+
+// readerNews returns what is known of the daemons that read the store.
+func (d *Daemon) readerNews() *control.News {
+	return &control.News{Readers: d.members.tellReaders(d.readAge())}
+}
+
 // beacon returns what this daemon tells of itself.
 func (d *Daemon) beacon() control.Beacon {
 	return control.Beacon{
@@ -219,16 +253,58 @@
 }
 
 // heard takes in the beacon of another daemon.
-func (d *Daemon) heard(beacon control.Beacon) {
+func (d *Daemon) heard(beacon *control.Beacon) {
 	if beacon.Address == d.settings.Load().ControlAddress || !d.members.hear(beacon) {
 		return
 	}
 	if beacon.Revision <= d.mirror.AsOf() {
 		// What was current there then is known here as well.
 		d.state.confirm(d.now().Add(-beacon.StoreAge))
+	} else {
+		select {
+		case d.news <- struct{}{}:
+		default:
+		}
+	}
+	nearPeriod, farPeriod := d.members.reportPeriods()
+	if beacon.Domain == d.settings.Load().Domain {
+		d.learnLoad(d.nearBoard, beacon.Load, nearPeriod)
+		d.learnLoads(d.nearBoard, beacon.Near, nearPeriod)
+		d.learnLoads(d.farBoard, beacon.Far, farPeriod)
+		return
 	}
-	if beacon.Load.Server != "" {
-		d.chooser.Report(beacon.Load)
+	d.learnLoad(d.farBoard, beacon.Load, farPeriod)
+	d.learnLoads(d.farBoard, beacon.Near, farPeriod)
+}
+
+// learnLoad takes in what a daemon tells of its own backend server. Unlike a
+// copy it counts also when the former one is not old.
+func (d *Daemon) learnLoad(board *gossip.Board, load placement.Report, period time.Duration) {
+	if load.Server == "" {
+		return
+	}
+	load.Period = period
+	d.boardsMu.Lock()
+	board.Put(&load)
+	d.boardsMu.Unlock()
+	d.chooser.Report(load)
+}
+
+// learnLoads takes in loads that come again in the period, and keeps those that
+// are news for the next round.
+func (d *Daemon) learnLoads(board *gossip.Board, loads []placement.Report, period time.Duration) {
+	for i := range loads {
+		load := &loads[i]
+		if load.Server == "" {
+			continue
+		}
+		load.Period = period
+		d.boardsMu.Lock()
+		isNews := board.Put(load)
+		d.boardsMu.Unlock()
+		if isNews {
+			d.chooser.Report(*load)
+		}
 	}
 }
 
--- a/sidecar/reload.go
+++ b/sidecar/reload.go
@@ -72,6 +72,7 @@
 	}
 	d.settings.Store(&loaded)
 	d.members.setSeeds(loaded.Seeds)
+	d.members.setLink(loaded.LinkRate)
 	d.log.Info("reloaded", zap.String("service", string(loaded.Service)), zap.Strings("seeds", loaded.Seeds))
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 
 	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/gossip"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/mirror"
@@ -97,7 +98,13 @@
 
 	state   *state
 	members *members
-	table   atomic.Pointer[route.Table]
+	// news holds a signal after another daemon told of a newer revision.
+	news chan struct{}
+	// nearBoard and farBoard keep the loads that are passed on in the next round,
+	// of the own and of other failure domains.
+	boardsMu            sync.Mutex
+	nearBoard, farBoard *gossip.Board
+	table               atomic.Pointer[route.Table]
 	// confirmed is when the copy of the store was last known to be current.
 	confirmed atomic.Int64
 	// lastRead is when this daemon itself last heard from the store.
@@ -131,6 +138,9 @@
 		store:       platform.NewStore(settings.StoreAddress),
 		chooser:     placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
 		budgets:     map[id.Service]*retry.Budget{},
+		news:        make(chan struct{}, 1),
+		nearBoard:   gossip.NewBoard(gossip.NearReports),
+		farBoard:    gossip.NewBoard(gossip.FarReports),
 	}
 	d.settings.Store(&settings)
 	d.requests = newRequestLog(log.Named("request"), metrics)
@@ -166,6 +176,9 @@
 	return d, nil
 }
 
+// seed makes the random choices of this daemon differ from those of others.
+func (d *Daemon) seed() uint64 { return xxhash.Sum64String(d.settings.Load().IP) }
+
 // now returns the current time on the steady clock, which the platform does
 // not set back.
 func (d *Daemon) now() id.Instant {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -40,7 +40,7 @@
 		time.Sleep(stopPoll)
 	}
 	d.local.SetLeaving()
-	d.gossip.Send(d.members.addresses(), 0)
+	d.gossip.Send(d.members.addresses(), d.readerNews())
 	d.ending.Store(true)
 	d.log.Info("refusing new requests", zap.Int64("requests", d.active.Load()))
 	for d.now().Before(deadline) && d.active.Load() > 0 {
