Bound the heads of answers and take no answer of another request

Cause: Pool.Do read heads, interim answers and chunks without a bound, and closing a body that was too long read it to its end. An answer that echoes no request id was taken for any request, also on a connection that had carried others. Ruled out: http.Transport, which bounds heads and interim answers but sends a request again by its own rules.

--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -74,7 +74,7 @@
 	t.Helper()
 	pool := NewPool(PoolOptions{
 		DialTimeout: limit, IdleLimit: limit, MaxBody: 1 << 20,
-		Matches: func(request, answer http.Header) bool { return request.Get("Id") == answer.Get("Id") },
+		RequestID: func(header http.Header) string { return header.Get("Id") },
 		Dialled: func(string) {
 			if dials != nil {
 				dials.Add(1)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -27,16 +28,27 @@
 	// maxSkipped is how many answers to earlier requests are skipped before the
 	// connection is given up.
 	maxSkipped = 2
+	// maxInterim is how many interim answers (1xx) are skipped; net/http takes as
+	// many.
+	maxInterim = 5
+	// maxHead bounds the heads of an answer in bytes, interim ones included.
+	// Servers in common use refuse to write longer ones.
+	maxHead = 64 << 10
 	// keepAliveMargin is taken off the idle time that a server announces, since
 	// its clock started earlier than ours.
 	keepAliveMargin = time.Second
 )
 
-// ErrTooLong says that an answer exceeds what is held in memory.
-var ErrTooLong = errors.New("http1: the answer is longer than the limit")
-
-// errOtherRequest says that only answers to other requests arrived.
-var errOtherRequest = errors.New("http1: the answers belong to other requests")
+var (
+	// ErrTooLong says that an answer exceeds what is held in memory.
+	ErrTooLong = errors.New("http1: the answer is longer than the limit: check the server, or raise MaxBody")
+	// ErrHeadTooLong says that the head of an answer does not end.
+	ErrHeadTooLong = errors.New("http1: the head of the answer is longer than the limit: check the server")
+	// ErrInterim says that only interim answers arrived.
+	ErrInterim = errors.New("http1: too many interim answers: check the server")
+	// errOtherRequest says that only answers to other requests arrived.
+	errOtherRequest = errors.New("http1: the answers belong to other requests")
+)
 
 // SendError is a request without a complete answer.
 type SendError struct {
@@ -89,9 +101,12 @@
 	IdleLimit time.Duration
 	// MaxBody bounds an answer's body.
 	MaxBody int64
-	// Matches reports whether an answer belongs to the request, by the headers
-	// of both. Nil accepts every answer.
-	Matches func(request, answer http.Header) bool
+	// RequestID returns the id of a request from its header, and the id that an
+	// answer echoes from the answer's. An answer with another id is skipped. One
+	// without any is taken only as the first of its connection, which is closed
+	// then, because a further copy could not be told from the next answer. Nil
+	// accepts every answer.
+	RequestID func(header http.Header) string
 	// SendTimeout bounds how long sent bytes may stay without acknowledgement.
 	// After it the connection counts as broken, which finds links that are cut.
 	SendTimeout time.Duration
@@ -110,7 +125,9 @@
 }
 
 type clientConn struct {
-	conn    *Conn
+	conn *Conn
+	// limit bounds what the reader takes from the connection.
+	limit   *io.LimitedReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	address string
@@ -178,27 +195,56 @@
 		// The peer may answer before it has read a long body.
 		go func() { written <- conn.send(wire) }()
 	}
-	for skipped := 0; ; skipped++ {
-		response, err := http.ReadResponse(conn.reader, wire) //nolint:bodyclose // readBody closes it.
+	for skipped := 0; skipped <= maxSkipped; skipped++ {
+		response, err := conn.head(wire) //nolint:bodyclose // The end of the connection closes it.
 		if err != nil {
 			return nil, false, err
 		}
-		if response.StatusCode == http.StatusContinue {
-			continue
-		}
 		body, err := p.readBody(response)
 		if err != nil {
 			return nil, false, err
 		}
-		if p.options.Matches != nil && !p.options.Matches(request.Header, response.Header) {
-			if skipped == maxSkipped {
-				return nil, false, errOtherRequest
-			}
+		belongs, named := p.belongs(request, response, conn.used || skipped > 0)
+		if !belongs {
 			continue
 		}
 		answer = &Answer{Status: response.StatusCode, Header: response.Header, Body: body}
-		return answer, conn.reusable(response, written), nil
+		return answer, named && conn.reusable(response, written), nil
+	}
+	return nil, false, errOtherRequest
+}
+
+// head reads the head of the next answer that is not an interim one.
+func (c *clientConn) head(wire *http.Request) (*http.Response, error) {
+	c.limit.N = maxHead
+	for range maxInterim + 1 {
+		response, err := http.ReadResponse(c.reader, wire)
+		if err != nil {
+			if c.limit.N <= 0 {
+				return nil, ErrHeadTooLong
+			}
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			c.limit.N = math.MaxInt64
+			return response, nil
+		}
+	}
+	return nil, ErrInterim
+}
+
+// belongs reports whether the answer belongs to the request, and whether it says
+// so itself. Late is set when an answer to an earlier request may come in its
+// place.
+func (p *Pool) belongs(request *Request, response *http.Response, late bool) (belongs, named bool) {
+	if p.options.RequestID == nil {
+		return true, true
+	}
+	wanted, echoed := p.options.RequestID(request.Header), p.options.RequestID(response.Header)
+	if echoed != "" {
+		return echoed == wanted, true
 	}
+	return !late, false
 }
 
 // reusable reports whether the connection can carry another request: the whole
@@ -241,8 +287,9 @@
 	return c.writer.Flush()
 }
 
+// readBody reads the whole body. It does not close it, which would read on to the
+// end of a body that is too long; after an error the connection is closed.
 func (p *Pool) readBody(response *http.Response) ([]byte, error) {
-	defer func() { _ = response.Body.Close() }()
 	if response.Body == http.NoBody {
 		return nil, nil
 	}
@@ -313,9 +360,10 @@
 		p.options.Dialled(address)
 	}
 	conn := NewConn(inner)
+	limit := &io.LimitedReader{R: conn, N: maxHead}
 	return &clientConn{
-		conn: conn, address: address,
-		reader: bufio.NewReaderSize(conn, bufferSize),
+		conn: conn, limit: limit, address: address,
+		reader: bufio.NewReaderSize(limit, bufferSize),
 		writer: bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -150,10 +150,7 @@
 	})
 	d.backend = http1.NewPool(http1.PoolOptions{
 		DialTimeout: backendDialTimeout, IdleLimit: backendIdle, MaxBody: maxAnswer,
-		Matches: func(request, answer http.Header) bool {
-			echoed := headers.RequestID(answer)
-			return echoed == "" || echoed == headers.RequestID(request)
-		},
+		RequestID: headers.RequestID,
 	})
 	_, hopPort, err := net.SplitHostPort(settings.HopAddress)
 	if err != nil {
