Number the exchanges between daemons

Cause: a kept connection between daemons took any answer for the next request; nothing in an answer said to which exchange it belongs. Ruled out: the request's own id; calls for changes of the store have none, and a repeat of one request bears the same one. Before: an answer without the number is accepted (the second reply of TestExchangesAreNumbered is "again"). After: TestExchangesAreNumbered passes; foreign peers are refused as before.

--- a/io/http1/hostile_test.go
+++ b/io/http1/hostile_test.go
@@ -251,3 +251,36 @@
 	}
 	is.Equal(dials.Load(), int64(2))
 }
+
+// Guards against a copy of an answer of another daemon that reaches the next
+// request on a kept connection: each exchange is numbered, and the answer has to
+// bear the number.
+func TestExchangesAreNumbered(t *testing.T) {
+	is := is.New(t)
+	const field = "Exchange"
+	address := peer(t, func(conn net.Conn, reader *bufio.Reader) {
+		reply := func(exchange int, body string) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s", field, exchange, len(body), body)
+		}
+		reply(1, "first")
+		if _, err := reader.Peek(1); err != nil || !readRequest(reader) {
+			return
+		}
+		reply(1, "again")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnone")
+		reply(2, "second")
+	})
+	pool := NewPool(PoolOptions{DialTimeout: limit, IdleLimit: limit, MaxBody: 1 << 20, Exchange: field})
+	t.Cleanup(pool.Clear)
+	for _, want := range []string{"first", "second"} {
+		got, err := pool.Do(context.Background(), address, get("1"))
+		is.NoErr(err)
+		is.Equal(string(got.Body), want)
+	}
+	// A peer that does not echo the number is not one of the own processes.
+	stranger, _ := script(t, answer("1", "body"))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := pool.Do(ctx, stranger, get("1"))
+	is.True(err != nil)
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -107,6 +108,11 @@
 	// then, because a further copy could not be told from the next answer. Nil
 	// accepts every answer.
 	RequestID func(header http.Header) string
+	// Exchange names a header field that the pool sets to a number of its own in
+	// each request, and that the peer has to echo in its answer (see Echo). It
+	// tells the answers apart where the peer is one of the own processes. It goes
+	// before RequestID.
+	Exchange string
 	// SendTimeout bounds how long sent bytes may stay without acknowledgement.
 	// After it the connection counts as broken, which finds links that are cut.
 	SendTimeout time.Duration
@@ -120,6 +126,8 @@
 	options PoolOptions
 	dialer  net.Dialer
 
+	exchanges atomic.Uint64
+
 	mu   sync.Mutex
 	idle map[string][]*clientConn
 }
@@ -160,12 +168,26 @@
 	}
 }
 
+// Echo passes requests to the handler and echoes the given field of each in the
+// header of its answer.
+func Echo(field string, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if value := r.Header.Get(field); value != "" {
+			w.Header().Set(field, value)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Do sends the request and returns the whole answer. The error is a *SendError.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
 	conn, err := p.connection(ctx, address)
 	if err != nil {
 		return nil, &SendError{Cause: err}
 	}
+	if p.options.Exchange != "" {
+		request.Header.Set(p.options.Exchange, strconv.FormatUint(p.exchanges.Add(1), 10))
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
 	answer, reusable, err := p.exchange(conn, request)
 	if !stop() || !reusable || err != nil {
@@ -237,6 +259,9 @@
 // so itself. Late is set when an answer to an earlier request may come in its
 // place.
 func (p *Pool) belongs(request *Request, response *http.Response, late bool) (belongs, named bool) {
+	if field := p.options.Exchange; field != "" {
+		return response.Header.Get(field) == request.Header.Get(field), true
+	}
 	if p.options.RequestID == nil {
 		return true, true
 	}
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -45,6 +45,10 @@
 	headerLoad        = headerPrefix + "Load"
 )
 
+// ExchangeHeader numbers the exchanges of one daemon with others, so that an
+// answer can be told from a late copy of an earlier one.
+const ExchangeHeader = headerPrefix + "Exchange"
+
 // flagSet is the value of a header that is a flag.
 const flagSet = "1"
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -147,6 +147,7 @@
 	headers := platform.Headers{}
 	d.hops = http1.NewPool(http1.PoolOptions{
 		DialTimeout: hopDialTimeout, IdleLimit: hopIdle, MaxBody: maxAnswer, SendTimeout: hopSendTimeout,
+		Exchange: relay.ExchangeHeader,
 	})
 	d.backend = http1.NewPool(http1.PoolOptions{
 		DialTimeout: backendDialTimeout, IdleLimit: backendIdle, MaxBody: maxAnswer,
@@ -266,8 +267,8 @@
 			Handler: d.countedCallers(handler), HeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeader: maxHeader,
 			Write: d.lane.Write,
 		}),
-		hops:      d.newServer(d.countedHops(hops)),
-		control:   d.newServer(control.NewHandler(d.mirror, d.storeAge)),
+		hops:      d.newServer(http1.Echo(relay.ExchangeHeader, d.countedHops(hops))),
+		control:   d.newServer(http1.Echo(relay.ExchangeHeader, control.NewHandler(d.mirror, d.storeAge))),
 		readiness: d.newServer(http.HandlerFunc(d.ready)),
 		metrics:   d.newServer(d.metrics.Handler()),
 		beacons:   beacons,
