Contain panics, bound slow clients, and stop without resets

Cause: one panic in the work on a request, a beacon or an entry of the store ended the process; a client that sent a head and no body was held for ever; limits for headers and idle time were constants; connections had no bound; a failure of accept, such as want of descriptors, ended the listener; closing the listener at a planned stop reset the connections that the kernel had accepted. Ruled out: the server of net/http, which works on pipelined requests one by one. Before: TestSlowAndLargeClients (half a header, no body, drips) and TestShutdownAnswersWhatHasArrived fail on; nothing recovered anywhere. After: they pass, as do TestPanicIsContained, TestBeaconIsContained, TestConnectionsAreBounded and TestSlowBodyPasses, with the race detector. What does not arrive in time is answered 408 and has not run; what panics is answered 502, which promises nothing, and its connection closes. testdata/decode.txt expects more fields than before.

--- /dev/null
+++ b/core/contain/contain_test.go
@@ -0,0 +1,28 @@
+package contain
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var errPlain = errors.New("plain")
+
+// Guards against a panic that passes on, one that hides an error, and a report
+// that does not say where it happened.
+func TestCall(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(Call(func() error { return nil }))
+	is.Equal(Call(func() error { return errPlain }), errPlain)
+	is.Equal(Stack(errPlain), "")
+	err := Call(func() error {
+		var none map[string]int
+		none["a"] = 1
+		return nil
+	})
+	var panicked *PanicError
+	is.True(errors.As(err, &panicked))
+	is.True(strings.Contains(Stack(err), "TestCall"))
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -65,9 +65,13 @@
 	Connections int
 }
 
-// Limits bound what a client may send.
+// Limits bound what a client may send, and how long it may take. Zero is not
+// limited by the configuration.
 type Limits struct {
-	BodyBytes int64
+	HeaderBytes, BodyBytes int64
+	// HeaderTimeout bounds the arrival of a header, IdleTimeout the time between
+	// two requests of a connection.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Error says which part of a configuration is wrong.
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/gossip"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
@@ -165,3 +167,41 @@
 	_, _, err = NewClient(pool).Changes(context.Background(), address, 0, 0)
 	is.NoErr(err)
 }
+
+// Guards against one beacon whose contents lead to a panic ending the receiver,
+// and the process with it.
+func TestBeaconIsContained(t *testing.T) {
+	is := is.New(t)
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	heard, failed := make(chan string, 2), make(chan error, 2)
+	receiver := NewGossip(conn, GossipOptions{
+		Now: func() id.Instant { return received },
+		Heard: func(beacon *Beacon) {
+			if beacon.Domain == "bad" {
+				panic("unexpected")
+			}
+			heard <- string(beacon.Domain)
+		},
+		Failed: func(err error) { failed <- err },
+	})
+	ended := make(chan struct{})
+	go func() {
+		receiver.Receive()
+		close(ended)
+	}()
+	out, err := net.Dial("udp4", conn.LocalAddr().String())
+	is.NoErr(err)
+	defer func() { _ = out.Close() }()
+	for _, data := range [][]byte{
+		encodeBeacon(&Beacon{Domain: "bad"}, received), []byte("malformed"), encodeBeacon(&Beacon{Domain: "good"}, received),
+	} {
+		_, err := out.Write(data)
+		is.NoErr(err)
+	}
+	is.True(contain.Stack(<-failed) != "")
+	is.Equal(contain.Stack(<-failed), "")
+	is.Equal(<-heard, "good")
+	is.NoErr(conn.Close())
+	<-ended
+}
--- a/io/control/gossip.go
+++ b/io/control/gossip.go
@@ -19,6 +19,7 @@
 	"net"
 	"time"
 
+	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/placement"
 )
@@ -62,16 +63,23 @@
 			time.Sleep(receivePause)
 			continue
 		}
-		beacon, err := decodeBeacon(buffer[:n], g.options.Now())
-		if err != nil {
+		if err := contain.Call(func() error { return g.take(buffer[:n], from) }); err != nil {
 			g.options.Failed(err)
-			continue
 		}
-		beacon.Address = from.String()
-		g.options.Heard(&beacon)
 	}
 }
 
+// take hands a beacon to its receiver.
+func (g *Gossip) take(data []byte, from net.Addr) error {
+	beacon, err := decodeBeacon(data, g.options.Now())
+	if err != nil {
+		return err
+	}
+	beacon.Address = from.String()
+	g.options.Heard(&beacon)
+	return nil
+}
+
 // News is what goes to some daemons in one round beside the sender's own state.
 type News struct {
 	// Period is the time in which each receiver gets a beacon; zero leaves the
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -237,7 +237,14 @@
 
 func serve(t *testing.T, handler Handler) (*Server, string) {
 	t.Helper()
-	server := NewServer(ServerOptions{Handler: handler, HeaderTimeout: limit, IdleTimeout: limit, MaxHeader: 4 << 10})
+	return serveWith(t, ServerOptions{Handler: handler, Limits: func() Limits {
+		return Limits{HeaderTimeout: limit, IdleTimeout: limit, HeaderBytes: 4 << 10}
+	}})
+}
+
+func serveWith(t *testing.T, options ServerOptions) (*Server, string) {
+	t.Helper()
+	server := NewServer(options)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 
+	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
@@ -116,9 +117,7 @@
 		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
 		Aim: j.route.Aim, NoWait: number <= eagerOffers, Large: j.route.Large,
 	}
-	h.options.Chooser.Started(choice.Server.ID, now)
-	answer, refused := h.options.Sender.Do(ctx, &choice.Server, call, j.request)
-	h.options.Chooser.Finished(choice.Server.ID, resultOf(answer, refused), h.options.Now())
+	answer, refused := h.send(ctx, j, &choice.Server, call)
 	if refused == nil || reached(refused) {
 		j.record.Arrivals++
 	}
@@ -128,6 +127,16 @@
 	return answer, refused
 }
 
+// send makes the attempt and tells the chooser of its end, also when it panics.
+func (h *Handler) send(ctx context.Context, j *job, target *backend.Server, call relay.Call) (answer *http1.Answer, refused *refusal.Error) {
+	result := placement.Neutral
+	h.options.Chooser.Started(target.ID, h.options.Now())
+	defer func() { h.options.Chooser.Finished(target.ID, result, h.options.Now()) }()
+	answer, refused = h.options.Sender.Do(ctx, target, call, j.request)
+	result = resultOf(answer, refused)
+	return answer, refused
+}
+
 // full reports whether the backend server may take the request a little later.
 func full(reason refusal.Reason) bool {
 	return reason == refusal.QueueFull || reason == refusal.QueueDeadline || reason == refusal.LinkBusy
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -132,7 +132,15 @@
 	j.record.RequestID = h.options.Dialect.RequestID(r.Header)
 	j.run = h.options.RunOf(j.record.RequestID)
 	j.record.Internal = j.run != nil
+	whole := false
+	defer func() {
+		if !whole {
+			// A panic leaves here; the link's account must not keep the booking.
+			j.booking.Close()
+		}
+	}()
 	answer, refused := h.serve(ctx, r, j)
+	whole = true
 	j.record.Refused = refused
 	j.record.Took = h.options.Now().Sub(j.arrived)
 	if j.route != nil {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -205,8 +205,8 @@
 	}
 	s.options.Dialect.Prepare(request.Header, deadline.Sub(started), call.Server)
 	run := s.begin(s.options.Dialect.RequestID(request.Header))
+	defer s.end(run)
 	answer, err := s.options.Pool.Do(ctx, s.options.Address, request)
-	s.end(run)
 	if err != nil {
 		refused := failure(ctx, err)
 		s.learn(started, refused.Reason != refusal.DeadlinePassed && refused.Reason != refusal.CallerGone, false)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/gossip"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
@@ -71,7 +72,7 @@
 			sleep(ctx, readCheck)
 			continue
 		}
-		err := d.readStore(ctx, synced)
+		err := contain.Call(func() error { return d.readStore(ctx, synced) })
 		switch {
 		case err == nil:
 			synced = true
@@ -86,6 +87,11 @@
 			synced = false
 			continue
 		}
+		if contain.Stack(err) != "" {
+			// The copy may have changes that were not taken over.
+			d.panicked("answer of the store", err)
+			synced = false
+		}
 		if !lost {
 			lost = true
 			d.log.Warn("store lost", zap.Error(err), zap.Uint64("revision", uint64(d.mirror.AsOf())))
@@ -154,11 +160,14 @@
 			d.awaitNews(ctx)
 			continue
 		}
-		err := d.fetch(ctx, address)
+		err := contain.Call(func() error { return d.fetch(ctx, address) })
 		if errors.Is(err, control.ErrBusy) {
 			sleep(ctx, fetchInterval)
 			continue
 		}
+		if contain.Stack(err) != "" {
+			d.panicked("changes of "+address, err)
+		}
 		if err != nil {
 			d.members.forget(address)
 			d.log.Info("peer lost", zap.String("peer", address), zap.Error(err))
@@ -229,16 +238,21 @@
 // tell sends the beacons of one round.
 func (d *Daemon) tell(plan gossip.Plan) {
 	news := d.readerNews()
-	now := d.now()
-	d.boardsMu.Lock()
-	news.Near, news.Far = d.nearBoard.Take(now), d.farBoard.Take(now)
-	d.boardsMu.Unlock()
+	news.Near, news.Far = d.takeNews()
 	news.Period = plan.Near.Period
 	d.gossip.Send(plan.Near.Addresses, news)
 	news.Period, news.Far = plan.Far.Period, nil
 	d.gossip.Send(plan.Far.Addresses, news)
 }
 
+// takeNews returns the loads to pass on in this round.
+func (d *Daemon) takeNews() (near, far []placement.Report) {
+	now := d.now()
+	d.boardsMu.Lock()
+	defer d.boardsMu.Unlock()
+	return d.nearBoard.Take(now), d.farBoard.Take(now)
+}
+
 // readerNews returns what is known of the daemons that read the store.
 func (d *Daemon) readerNews() *control.News {
 	return &control.News{Readers: d.members.tellReaders(d.readAge())}
@@ -284,12 +298,17 @@
 		return
 	}
 	load.Period = period
-	d.boardsMu.Lock()
-	board.Put(&load)
-	d.boardsMu.Unlock()
+	d.put(board, &load)
 	d.chooser.Report(load)
 }
 
+// put keeps a load for the next round and reports whether it is news.
+func (d *Daemon) put(board *gossip.Board, load *placement.Report) bool {
+	d.boardsMu.Lock()
+	defer d.boardsMu.Unlock()
+	return board.Put(load)
+}
+
 // learnLoads takes in loads that come again in the period, and keeps those that
 // are news for the next round.
 func (d *Daemon) learnLoads(board *gossip.Board, loads []placement.Report, period time.Duration) {
@@ -299,16 +318,17 @@
 			continue
 		}
 		load.Period = period
-		d.boardsMu.Lock()
-		isNews := board.Put(load)
-		d.boardsMu.Unlock()
-		if isNews {
+		if d.put(board, load) {
 			d.chooser.Report(*load)
 		}
 	}
 }
 
 func (d *Daemon) gossipFailed(err error) {
+	if contain.Stack(err) != "" {
+		d.panicked("beacon", err)
+		return
+	}
 	d.log.Debug("beacon failed", zap.Error(err))
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,12 +59,16 @@
 	listenerIdle = 60 * time.Second
 	// backendIdle is used when the backend server announces no idle time.
 	backendIdle = 8 * time.Second
-	// maxAnswer bounds an answer in memory; downloads have up to 600 KB.
-	maxAnswer = 16 << 20
-	// headerTimeout bounds the time in which a header arrives.
+	// maxAnswer bounds an answer in memory. Downloads have up to 600 KB; answers of
+	// this size in all slots fit the memory of the smallest hosts.
+	maxAnswer = 4 << 20
+	// headerTimeout and maxHeader bound the arrival and size in bytes of a header
+	// where the configuration does not.
 	headerTimeout = 10 * time.Second
-	// maxHeader bounds a header, above what configurations allow.
-	maxHeader = 64 << 10
+	maxHeader     = 64 << 10
+	// callerShare is the part of the process's descriptors for the connections of
+	// clients. The rest is for other daemons, the backend server and the store.
+	callerShare = 0.5
 	// retryShare is the share of the platform's retry ratio that is used. A
 	// repeat also repeats the calls that its run makes, which count at the
 	// service that is called.
@@ -229,11 +233,11 @@
 	if err != nil {
 		return err
 	}
-	go d.local.Expire(background)
-	go d.followStore(background)
-	go d.followPeers(background)
-	go d.tick(background)
-	go d.followSettings(background, source)
+	go d.loop(background, "queue", d.local.Expire)
+	go d.loop(background, "store", d.followStore)
+	go d.loop(background, "peers", d.followPeers)
+	go d.loop(background, "rounds", d.tick)
+	go d.loop(background, "settings", func(ctx context.Context) { d.followSettings(ctx, source) })
 	<-ctx.Done()
 	d.stop(servers)
 	return nil
@@ -261,11 +265,12 @@
 	d.gossip = control.NewGossip(beacons, control.GossipOptions{
 		Self: d.beacon, Heard: d.heard, Now: d.now, Failed: d.gossipFailed,
 	})
-	go d.gossip.Receive()
+	go d.loop(ctx, "beacons", func(context.Context) { d.gossip.Receive() })
 	s := &servers{
 		callers: http1.NewServer(http1.ServerOptions{
-			Handler: d.countedCallers(handler), HeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeader: maxHeader,
-			Write: d.lane.Write,
+			Handler: d.countedCallers(handler), Limits: d.clientLimits, Write: d.lane.Write,
+			MaxConns: int(callerShare * float64(d.settings.Load().Descriptors)),
+			Panicked: func(r *http.Request, err error) { d.panicked("request "+platform.Headers{}.RequestID(r.Header), err) },
 		}),
 		hops:      d.newServer(http1.Echo(relay.ExchangeHeader, d.countedHops(hops))),
 		control:   d.newServer(http1.Echo(relay.ExchangeHeader, control.NewHandler(d.mirror, d.storeAge))),
@@ -290,9 +295,29 @@
 	return s, nil
 }
 
+// clientLimits returns what clients may send, by the configuration in force.
+func (d *Daemon) clientLimits() http1.Limits {
+	limits := http1.Limits{HeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, HeaderBytes: maxHeader}
+	table := d.table.Load()
+	if table == nil {
+		return limits
+	}
+	if table.Limits.HeaderTimeout > 0 {
+		limits.HeaderTimeout = table.Limits.HeaderTimeout
+	}
+	if table.Limits.IdleTimeout > 0 {
+		limits.IdleTimeout = table.Limits.IdleTimeout
+	}
+	if table.Limits.HeaderBytes > 0 {
+		limits.HeaderBytes = table.Limits.HeaderBytes
+	}
+	limits.BodyBytes = table.Limits.BodyBytes
+	return limits
+}
+
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ConnContext: http1.ConnContext,
+		Handler: d.contained(handler), ConnContext: http1.ConnContext,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: listenerIdle, MaxHeaderBytes: maxHeader,
 		ErrorLog: zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/route"
@@ -46,11 +47,18 @@
 	now := s.d.now()
 	table := s.d.table.Load()
 	for i := range items {
-		if s.decoder.IsConfiguration(items[i].Key) {
-			table = s.newer(table, &items[i])
-			continue
+		// An entry that cannot be taken over must not keep others from it.
+		err := contain.Call(func() error {
+			if s.decoder.IsConfiguration(items[i].Key) {
+				table = s.newer(table, &items[i])
+				return nil
+			}
+			s.applyServer(&items[i], now)
+			return nil
+		})
+		if err != nil {
+			s.d.panicked("entry "+items[i].Key, err)
 		}
-		s.applyServer(&items[i], now)
 	}
 	// Routes come into force after the backend servers that they lead to.
 	s.publish()
