Share the allowed repeats by the fleet's size and charge the calls of repeats

Cause: each daemon saved five repeats a service, 975 in a fleet of 195 where the platform's slack is 430, and used 8 of the allowed 20 percent, because a repeat also repeats the calls of its run and nobody counted these. Orders make none here, so they may use all that is allowed. TestRepeatsOfAFleetAreBounded bounds the sum over 20 daemons, restarts included; the former budget exceeds it.

--- /dev/null
+++ b/core/retry/ledger_test.go
@@ -0,0 +1,124 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"marjoramsaddle/core/id"
+)
+
+func terms() Terms { return Terms{Ratio: 0.2, Slack: 430, Daemons: 195} }
+
+// Guards against a storm of repeats while the backend servers of a service
+// reject half of all requests: the repeats of all daemons together, and those of
+// the calls that repeated runs make, stay within the ratio and the slack, in
+// every order of events and with every daemon restarted.
+func TestRepeatsOfAFleetAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const daemons = 20
+		allowed := Terms{Ratio: 0.2, Slack: 44, Daemons: daemons}
+		ledgers := make([]*Ledger, daemons)
+		restart := func(i int) {
+			ledgers[i] = NewLedger(func() Terms { return allowed })
+			ledgers[i].Learn("lookup", map[id.Service]int{"depot": 1})
+		}
+		for i := range ledgers {
+			restart(i)
+		}
+		requests, repeats := map[id.Service]float64{}, map[id.Service]float64{}
+		restarts := 0
+		for range rapid.IntRange(1, 4000).Draw(t, "requests") {
+			ledger := ledgers[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0:
+				ledger.First("depot", false)
+				requests["depot"]++
+				if ledger.Take("depot", "download") {
+					repeats["depot"]++
+				}
+			case 1:
+				if restarts < daemons/2 {
+					restarts++
+					restart(rapid.IntRange(0, daemons-1).Draw(t, "restarted"))
+				}
+			default:
+				ledger.First("counter", false)
+				requests["counter"]++
+				if ledger.Take("counter", "lookup") {
+					repeats["counter"]++
+					repeats["depot"]++
+					ledger.Repeated("lookup", map[id.Service]int{"depot": 1})
+				}
+			}
+		}
+		for service, count := range repeats {
+			if count > allowed.Ratio*requests[service]+allowed.Slack {
+				t.Fatalf("%v repeats of %v requests for %s", count, requests[service], service)
+			}
+		}
+	})
+}
+
+// Guards against orders that are not tried again because lookups, whose runs
+// make calls, have used up the repeats of the called service.
+func TestRoutesWithoutCallsAreRepeated(t *testing.T) {
+	is := is.New(t)
+	ledger := NewLedger(terms)
+	ledger.Learn("lookup", map[id.Service]int{"depot": 2})
+	for range 20 {
+		ledger.First("counter", false)
+	}
+	is.True(ledger.Take("counter", "lookup"))
+	ledger.Repeated("lookup", nil)
+	is.True(!ledger.Take("counter", "lookup"))
+	for range 20 {
+		ledger.First("counter", false)
+	}
+	is.True(ledger.Take("counter", "order"))
+	// A call earns less than a request of a client.
+	for range 13 {
+		ledger.First("depot", true)
+		ledger.First("counter", false)
+	}
+	is.True(ledger.Take("counter", "lookup"))
+}
+
+// Guards against saved repeats of many daemons that add up to more than the
+// platform's slack, and against repeats where none are allowed.
+func TestSavedRepeats(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		terms Terms
+		most  int
+	}{{terms(), 1}, {Terms{Ratio: 0.2, Slack: 64, Daemons: 13}, 2}, {Terms{Slack: 64, Daemons: 1}, 0}} {
+		ledger := NewLedger(func() Terms { return test.terms })
+		for range 1000 {
+			ledger.First("counter", false)
+		}
+		taken := 0
+		for ledger.Take("counter", "r") {
+			taken++
+		}
+		is.Equal(taken, test.most)
+	}
+}
+
+// Guards against a mean number of calls that does not follow the runs.
+func TestCallsOfARoute(t *testing.T) {
+	is := is.New(t)
+	ledger := NewLedger(terms)
+	ledger.Learn("order", map[id.Service]int{})
+	is.Equal(len(ledger.calls), 0)
+	ledger.Learn("lookup", map[id.Service]int{"depot": 2})
+	is.Equal(ledger.calls["lookup"]["depot"], 2.0)
+	for range 100 {
+		ledger.Learn("lookup", map[id.Service]int{"depot": 1})
+	}
+	is.True(ledger.calls["lookup"]["depot"] < 1.01)
+	for range 100 {
+		ledger.Learn("lookup", nil)
+	}
+	is.True(ledger.calls["lookup"]["depot"] < 0.01)
+}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -23,8 +23,10 @@
 // attempts offers the request until a backend server has answered it or no
 // further offer is useful and safe.
 func (h *Handler) attempts(ctx context.Context, j *job) (*http1.Answer, *refusal.Error) {
-	budget := h.options.Budget(j.service)
-	budget.First()
+	h.options.Repeats.First(j.service, j.run != nil)
+	if j.run != nil {
+		j.run.Called(j.service)
+	}
 	last := refusal.New(refusal.NoEndpoint, refusal.NotRun)
 	// failed is a backend server's own failure, for want of a better answer.
 	var failed *http1.Answer
@@ -43,7 +45,7 @@
 			}
 		}
 		if refused == nil || reached(refused) {
-			if j.record.Arrivals >= j.route.Attempts || !budget.Take(h.options.Now()) {
+			if j.record.Arrivals >= j.route.Attempts || !h.options.Repeats.Take(j.service, j.route.Name) {
 				break
 			}
 		}
@@ -118,6 +120,7 @@
 		Aim: j.route.Aim, NoWait: number <= eagerOffers, Large: j.route.Large,
 	}
 	answer, refused := h.send(ctx, j, &choice.Server, call)
+	h.countCalls(j, answer, refused)
 	if refused == nil || reached(refused) {
 		j.record.Arrivals++
 	}
@@ -137,6 +140,22 @@
 	return answer, refused
 }
 
+// countCalls learns the calls that a run has made, and charges those of a
+// repeat.
+func (h *Handler) countCalls(j *job, answer *http1.Answer, refused *refusal.Error) {
+	repeat := j.record.Arrivals > 0
+	switch {
+	case refused == nil:
+		calls := relay.Calls(answer.Header)
+		h.options.Repeats.Learn(j.route.Name, calls)
+		if repeat {
+			h.options.Repeats.Repeated(j.route.Name, calls)
+		}
+	case repeat && refused.Outcome != refusal.NotRun:
+		h.options.Repeats.Repeated(j.route.Name, nil)
+	}
+}
+
 // full reports whether the backend server may take the request a little later.
 func full(reason refusal.Reason) bool {
 	return reason == refusal.QueueFull || reason == refusal.QueueDeadline || reason == refusal.LinkBusy
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -57,7 +57,18 @@
 }
 
 // Run is a request that the backend server of this host works on.
-type Run interface{ CallRefused() }
+type Run interface {
+	CallRefused()
+	Called(service id.Service)
+}
+
+// Repeats bounds the requests that are sent to a further backend server.
+type Repeats interface {
+	First(service id.Service, call bool)
+	Take(service id.Service, route string) bool
+	Repeated(route string, calls map[id.Service]int)
+	Learn(route string, calls map[id.Service]int)
+}
 
 // Recorder counts and logs requests.
 type Recorder interface {
@@ -73,9 +84,8 @@
 	Chooser Chooser
 	Sender  Sender
 	// Table returns the configuration in force, or nil.
-	Table func() *route.Table
-	// Budget returns the retry budget of a service.
-	Budget   func(service id.Service) *retry.Budget
+	Table    func() *route.Table
+	Repeats  Repeats
 	Recorder Recorder
 	// Link is the account of the long answers of this host.
 	Link *link.Link
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -33,7 +33,7 @@
 	calls    []relay.Call
 	offered  []backend.ID
 	records  []Record
-	budget   *retry.Budget
+	repeats  *retry.Ledger
 	table    *route.Table
 	link     *link.Link
 }
@@ -103,19 +103,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{outcomes: outcomes, link: link.New(100_000), table: table, budget: retry.NewBudget(50, retry.WithMinimum(0))}
+	w := &world{outcomes: outcomes, link: link.New(100_000), table: table, repeats: ledger(1)}
+	return w, w.handler()
+}
+
+func (w *world) handler() *Handler {
 	start := time.Now()
-	return w, New(Options{
+	return New(Options{
 		Service: func() id.Service { return "depot" }, Dialect: w, Chooser: w, Sender: w, Recorder: w,
-		Table:  func() *route.Table { return w.table },
-		Budget: func(id.Service) *retry.Budget { return w.budget },
-		RunOf:  func(string) Run { return nil },
-		Local:  func() backend.ID { return "" },
-		Link:   w.link,
-		Now:    func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
+		Table:   func() *route.Table { return w.table },
+		Repeats: w.repeats,
+		RunOf:   func(string) Run { return nil },
+		Local:   func() backend.ID { return "" },
+		Link:    w.link,
+		Now:     func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
 	})
 }
 
+// ledger returns the part of one daemon that is alone in its fleet.
+func ledger(ratio float64) *retry.Ledger {
+	return retry.NewLedger(func() retry.Terms { return retry.Terms{Ratio: ratio, Slack: 10, Daemons: 1} })
+}
+
 func request(method, target string, body string) *http.Request {
 	r := httptest.NewRequest(method, target, strings.NewReader(body))
 	r.Host = "shop"
@@ -177,8 +186,9 @@
 // Guards against repeats without end while backend servers fail everything.
 func TestRepeatsKeepTheBudget(t *testing.T) {
 	is := is.New(t)
-	w, handler := newWorld(t, outcome{refused: refusal.New(refusal.BackendBroken, refusal.Unknown)})
-	w.budget = retry.NewBudget(10, retry.WithMinimum(0))
+	w, _ := newWorld(t, outcome{refused: refusal.New(refusal.BackendBroken, refusal.Unknown)})
+	w.repeats = ledger(0.1)
+	handler := w.handler()
 	const requests = 200
 	for range requests {
 		handler.Serve(context.Background(), request(http.MethodGet, "/stock/", ""))
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/io/http1"
@@ -38,6 +39,7 @@
 	headerRank        = headerPrefix + "Rank"
 	headerAim         = headerPrefix + "Aim-Us"
 	headerCallRefused = headerPrefix + "Call-Refused"
+	headerCalls       = headerPrefix + "Calls"
 	headerNoWait      = headerPrefix + "No-Wait"
 	headerLarge       = headerPrefix + "Large"
 	headerOutcome     = headerPrefix + "Outcome"
@@ -121,6 +123,26 @@
 // CallRefused reports whether MarkCallRefused was called for the answer.
 func CallRefused(header http.Header) bool { return header.Get(headerCallRefused) == flagSet }
 
+// SetCalls notes in an answer how many calls the run has made of each service.
+func SetCalls(header http.Header, calls map[id.Service]int) {
+	for service, count := range calls {
+		header.Add(headerCalls, string(service)+"="+strconv.Itoa(count))
+	}
+}
+
+// Calls returns what SetCalls has noted. What cannot be read is left out; other
+// daemons write nothing else.
+func Calls(header http.Header) map[id.Service]int {
+	calls := map[id.Service]int{}
+	for _, text := range header.Values(headerCalls) {
+		service, number, _ := strings.Cut(text, "=")
+		if count, err := strconv.Atoi(number); err == nil && count > 0 {
+			calls[id.Service(service)] = count
+		}
+	}
+	return calls
+}
+
 // Strip removes the daemons' own headers.
 func Strip(header http.Header) {
 	for name := range header {
--- a/io/server/run.go
+++ b/io/server/run.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"maps"
 	"strings"
+	"sync"
 	"sync/atomic"
+
+	"marjoramsaddle/core/id"
 )
 
 // Run is a request that the backend server works on. The calls that it makes
@@ -11,19 +15,39 @@
 type Run struct {
 	id          string
 	callRefused atomic.Bool
+
+	mu    sync.Mutex
+	calls map[id.Service]int
+}
+
+// Called notes that the run has made a call of the service.
+func (r *Run) Called(service id.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls == nil {
+		r.calls = map[id.Service]int{}
+	}
+	r.calls[service]++
+}
+
+// made returns the calls of the run so far.
+func (r *Run) made() map[id.Service]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.calls)
 }
 
 // CallRefused notes that a call of the run was turned away, which fails it.
 func (r *Run) CallRefused() { r.callRefused.Store(true) }
 
-func (s *Server) begin(id string) *Run {
-	run := &Run{id: id}
-	if id == "" {
+func (s *Server) begin(requestID string) *Run {
+	run := &Run{id: requestID}
+	if requestID == "" {
 		return run
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.runs[id] = run
+	s.runs[requestID] = run
 	return run
 }
 
@@ -39,8 +63,8 @@
 func (s *Server) RunOf(call string) *Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, run := range s.runs {
-		if len(call) > len(id) && strings.HasPrefix(call, id) {
+	for requestID, run := range s.runs {
+		if len(call) > len(requestID) && strings.HasPrefix(call, requestID) {
 			return run
 		}
 	}
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -216,6 +216,7 @@
 		s.learn(started, true, false)
 		return nil, refused
 	}
+	relay.SetCalls(answer.Header, run.made())
 	callRefused := run.callRefused.Load()
 	switch {
 	case answer.Status < http.StatusInternalServerError:
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -141,13 +141,16 @@
 }
 
 // Guards against a failed run being repeated when a call of it found no room:
-// the repeat would find none either.
+// the repeat would find none either; and against calls of a run that its sender
+// does not learn of.
 func TestCallRefusedMarksTheAnswer(t *testing.T) {
 	is := is.New(t)
 	var s *Server
 	s = newServer(t, func(w http.ResponseWriter, r *http.Request) {
 		if run := s.RunOf(r.Header.Get("Id") + ".1"); run != nil {
 			run.CallRefused()
+			run.Called("depot")
+			run.Called("depot")
 		}
 		w.Header().Set("Stamp", "1")
 		w.WriteHeader(http.StatusInternalServerError)
@@ -155,6 +158,7 @@
 	answer, refused := send(s, call())
 	is.True(refused == nil)
 	is.True(relay.CallRefused(answer.Header))
+	is.Equal(relay.Calls(answer.Header), map[id.Service]int{"depot": 2})
 	is.True(s.RunOf("1.1") == nil)
 	is.True(s.RunOf("1") == nil)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,11 +69,6 @@
 	// callerShare is the part of the process's descriptors for the connections of
 	// clients. The rest is for other daemons, the backend server and the store.
 	callerShare = 0.5
-	// retryShare is the share of the platform's retry ratio that is used. A
-	// repeat also repeats the calls that its run makes, which count at the
-	// service that is called.
-	retryShare = 0.4
-	percent    = 100
 	// laneShare is the part of the host's link that long answers use. The rest is
 	// for requests, headers, beacons and acknowledgements.
 	laneShare = 0.85
@@ -123,8 +118,7 @@
 	// lastClient is when a client last sent a request.
 	lastClient atomic.Int64
 
-	budgetsMu sync.Mutex
-	budgets   map[id.Service]*retry.Budget
+	repeats *retry.Ledger
 }
 
 // New returns a daemon that has opened nothing yet.
@@ -141,7 +135,6 @@
 		mirror:      mirror.New(),
 		store:       platform.NewStore(settings.StoreAddress),
 		chooser:     placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
-		budgets:     map[id.Service]*retry.Budget{},
 		news:        make(chan struct{}, 1),
 		nearBoard:   gossip.NewBoard(gossip.NearReports),
 		farBoard:    gossip.NewBoard(gossip.FarReports),
@@ -174,6 +167,7 @@
 	d.relay = relay.NewClient(d.hops, hopPort, d.report)
 	d.peers = control.NewClient(d.hops)
 	d.members = newMembers(settings, d.now)
+	d.repeats = retry.NewLedger(d.retryTerms)
 	d.state = newState(d)
 	return d, nil
 }
@@ -192,17 +186,11 @@
 	d.chooser.Report(report)
 }
 
-// budget returns the retry budget of a service.
-func (d *Daemon) budget(service id.Service) *retry.Budget {
-	d.budgetsMu.Lock()
-	defer d.budgetsMu.Unlock()
-	budget := d.budgets[service]
-	if budget == nil {
-		share := int(d.settings.Load().RetryRatio * retryShare * percent)
-		budget = retry.NewBudget(share, retry.WithMinimum(0))
-		d.budgets[service] = budget
-	}
-	return budget
+// retryTerms returns what the platform allows all daemons together.
+func (d *Daemon) retryTerms() retry.Terms {
+	settings := d.settings.Load()
+	near, far := d.members.split()
+	return retry.Terms{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Daemons: 1 + len(near) + len(far)}
 }
 
 // runOf returns the run on this host that makes the request, or nil.
@@ -254,7 +242,7 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, Dialect: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Budget: d.budget, Recorder: d.requests, RunOf: d.runOf, Now: d.now,
+		Table: d.table.Load, Repeats: d.repeats, Recorder: d.requests, RunOf: d.runOf, Now: d.now,
 		Local: d.localServer, Link: d.lane.Account(),
 	})
 	hops := relay.NewHandler(d.local, d.lane)
