Spare the store at the first start and when readers end

Before: TestFirstStartSparesTheStore 24 calls within 160 ms for six daemons. After: the seeds list, the others take their copy (TestFirstStartSparesTheStore, TestFirstStartWithoutSeeds); readers step in by turns (TestReadersStepInByTurns) and tell at once.

--- a/core/gossip/rounds.go
+++ b/core/gossip/rounds.go
@@ -20,9 +20,10 @@
 	nearWork = 16
 	// leastFar and mostFar bound the beacons of a round beyond the failure domain.
 	leastFar = 1.0 / 3
-	mostFar  = 3.0
-	// farWork is nearWork for the beacons beyond the failure domain.
-	farWork = 27.0
+	mostFar  = 2.0
+	// farWork is nearWork for the beacons beyond the failure domain. What one
+	// daemon is told it passes on to its neighbours.
+	farWork = 9.0
 )
 
 // Batch is the receivers of one round that are told in the same period.
--- a/core/mirror/reader.go
+++ b/core/mirror/reader.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,20 +28,44 @@
 	Fresh bool
 }
 
-// Reads reports whether the daemon self reads the store itself: when fewer than
-// the wanted number of the daemons that come before it have fresh news. The
-// order is the same everywhere, so a few daemons read while all is well, and
-// the next ones step in where news stops, each by its own view.
-func Reads(self Daemon, others []Daemon) bool {
+// Turn says whether a daemon is needed as a reader, and how many come first.
+type Turn struct {
+	// Needed is set when fewer than the wanted number of the daemons that come
+	// before this one have fresh news.
+	Needed bool
+	// Before is the number of daemons without fresh news that come before it.
+	Before int
+}
+
+// stepDelay is the time in which news of a daemon that has begun to read reaches
+// others.
+const stepDelay = 120 * time.Millisecond
+
+// Delay returns how long a daemon that is needed leaves it to those that come
+// before it, some of which may have ended. The number that step in at a time
+// doubles with each delay, so a fleet does not turn to the store all at once.
+func (t Turn) Delay() time.Duration { return stepDelay * time.Duration(bits.Len(uint(t.Before))) }
+
+// TurnOf returns the turn of the daemon self. The order is the same everywhere,
+// so a few daemons read while all is well, and the next ones step in where news
+// stops, each by its own view.
+func TurnOf(self Daemon, others []Daemon) Turn {
 	all := append(slices.Clone(others), self)
 	ranks := rank(all)
+	var turn Turn
 	fresh := 0
 	for _, other := range others {
-		if other.Fresh && precedes(other, self, ranks) {
+		if !precedes(other, self, ranks) {
+			continue
+		}
+		if other.Fresh {
 			fresh++
+		} else {
+			turn.Before++
 		}
 	}
-	return fresh < readersWanted
+	turn.Needed = fresh < readersWanted
+	return turn
 }
 
 // rank returns the place of each daemon within its failure domain.
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -22,6 +22,8 @@
 	// while changes are made, so its silence must not last long against the
 	// seconds within which a change has to be in force.
 	watchWait = time.Second
+	// shortestWait is the wait of a watch that is to answer at once.
+	shortestWait = time.Millisecond
 	// callMargin is allowed for the way to the store and back. A call that takes
 	// longer is on a connection that has gone silent.
 	callMargin = 600 * time.Millisecond
@@ -49,6 +51,9 @@
 	newsFanout = 6
 	// readerFanout is newsFanout for a daemon that reads the store.
 	readerFanout = 24
+	// firstStartWait is how long a daemon waits for the seeds' copy when the whole
+	// system starts. Traffic starts seconds later.
+	firstStartWait = 2 * time.Second
 	// readCheck is how often a daemon that does not read looks whether it has to.
 	readCheck = 50 * time.Millisecond
 	// peerTimeout bounds a call for changes to another daemon. A megabyte of
@@ -60,22 +65,29 @@
 func (d *Daemon) followStore(ctx context.Context) {
 	backoff := firstBackoff
 	synced, lost := false, false
-	reading := true
+	// begun is set until the first answer after this daemon has begun to read.
+	reading, begun := true, true
 	for ctx.Err() == nil {
 		stale := d.stale.Swap(false)
 		synced = synced && !stale
-		if needed := stale || d.mirror.AsOf() == 0 || d.members.reads(); needed != reading {
+		if needed := stale || d.mustRead(); needed != reading {
 			reading = needed
+			begun = true
 			d.log.Info("store reader", zap.Bool("reading", reading), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 		}
 		if !reading {
 			sleep(ctx, readCheck)
 			continue
 		}
-		err := contain.Call(func() error { return d.readStore(ctx, synced) })
+		wait := watchWait
+		if begun {
+			// An answer at once tells others that this daemon reads.
+			wait = shortestWait
+		}
+		err := contain.Call(func() error { return d.readStore(ctx, synced, wait) })
 		switch {
 		case err == nil:
-			synced = true
+			synced, begun = true, false
 			backoff = firstBackoff
 			if lost {
 				lost = false
@@ -102,14 +114,26 @@
 	}
 }
 
-// readStore makes one call, or the calls of one listing.
-func (d *Daemon) readStore(ctx context.Context, synced bool) error {
+// mustRead reports whether this daemon reads the store now. One that knows
+// nothing reads, but when the whole system starts for the first time most leave
+// it to the seeds for a moment: a fleet must not list the store all at once.
+func (d *Daemon) mustRead() bool {
+	if d.mirror.AsOf() > 0 {
+		return d.members.reads()
+	}
+	settings := d.settings.Load()
+	waits := settings.FirstStart && len(settings.Seeds) > 0 && !d.members.isSeed()
+	return !waits || time.Since(d.started) > firstStartWait
+}
+
+// readStore makes one call that waits for changes, or the calls of one listing.
+func (d *Daemon) readStore(ctx context.Context, synced bool, wait time.Duration) error {
 	if !synced {
 		return d.listStore(ctx)
 	}
 	call, cancel := context.WithTimeout(ctx, watchWait+callMargin)
 	defer cancel()
-	changes, err := d.store.Watch(call, "", d.mirror.AsOf(), watchWait)
+	changes, err := d.store.Watch(call, "", d.mirror.AsOf(), wait)
 	if err != nil {
 		return err
 	}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -69,7 +69,9 @@
 type readDuty struct {
 	view  *view
 	fresh []string
-	reads bool
+	turn  mirror.Turn
+	// since is when this daemon was first needed.
+	since id.Instant
 }
 
 func newMembers(settings platform.Settings, now func() id.Instant) *members {
@@ -292,6 +294,13 @@
 	return addresses[rand.IntN(len(addresses))], true
 }
 
+// isSeed reports whether the other daemons are told to ask this one.
+func (m *members) isSeed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.seeds, m.self.Address)
+}
+
 // reads reports whether this daemon has to read the store itself.
 func (m *members) reads() bool {
 	now := m.now()
@@ -306,9 +315,13 @@
 	}
 	slices.Sort(fresh)
 	if m.duty.view != view || !slices.Equal(m.duty.fresh, fresh) {
-		m.duty = readDuty{view: view, fresh: fresh, reads: m.needed(fresh)}
+		former := m.duty
+		m.duty = readDuty{view: view, fresh: fresh, turn: m.turn(fresh), since: now}
+		if former.turn.Needed {
+			m.duty.since = former.since
+		}
 	}
-	return m.duty.reads
+	return m.duty.turn.Needed && !now.Before(m.duty.since.Add(m.duty.turn.Delay()))
 }
 
 // newsDelay returns how old news of a reader may be on its arrival.
@@ -319,7 +332,7 @@
 	return newsDelay
 }
 
-func (m *members) needed(fresh []string) bool {
+func (m *members) turn(fresh []string) mirror.Turn {
 	others := make([]mirror.Daemon, 0, len(m.heard)+len(fresh))
 	for address := range m.heard {
 		beacon := m.heard[address]
@@ -334,7 +347,7 @@
 		reader := m.readers[address]
 		others = append(others, mirror.Daemon{Address: address, Domain: reader.Domain, Link: reader.Link, Fresh: true})
 	}
-	return mirror.Reads(mirror.Daemon{Address: m.self.Address, Domain: m.self.Domain, Link: m.self.Link}, others)
+	return mirror.TurnOf(mirror.Daemon{Address: m.self.Address, Domain: m.self.Domain, Link: m.self.Link}, others)
 }
 
 // forget drops what was heard of a daemon.
