Accept what the kernel holds before a listener is closed

Cause: closing a listener resets the connections that the kernel has accepted and the process has not, with the requests that were sent on them. Ruled out: a longer announcement of the stop; clients that have not heard of it still connect at its end. Shutdown of net/http alone closes the listener first. A daemon that refuses because it ends also asks other daemons to give up the connection.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -37,6 +38,7 @@
 	"marjoramsaddle/io/caller"
 	"marjoramsaddle/io/certificate"
 	"marjoramsaddle/io/hop"
+	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/operator"
 	"marjoramsaddle/io/peer"
 	"marjoramsaddle/io/platform"
@@ -212,14 +214,19 @@
 // closed.
 type callerServer struct {
 	*http.Server
-	listener net.Listener
+	listener *http1.StopListener
 }
 
 func serveHTTP(field, address string, handler http.Handler) (*callerServer, error) {
-	listener, err := net.Listen("tcp", address)
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w: free %s or choose another", err, field)
 	}
+	tcp, ok := inner.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("daemon: %s is no TCP address: choose another %s", address, field), inner.Close())
+	}
+	listener := http1.NewStopListener(tcp)
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"marjoramsaddle/core/kernel"
 	"marjoramsaddle/io/backend"
 )
@@ -35,7 +37,11 @@
 	d.ready.Store(int32(kernel.Draining))
 	d.gate.Drain()
 	time.Sleep(announceTime)
-	_ = d.callers.listener.Close()
+	// Closing at once would reset the connections that the kernel has accepted,
+	// with the requests that callers have sent on them.
+	if err := d.callers.listener.Stop(ctx); err != nil {
+		log.Warn("connections of callers may have been reset", zap.Error(err))
+	}
 	time.Sleep(lingerTime)
 	if err := d.callers.Shutdown(ctx); err != nil {
 		log.Warn("calls of callers were cut off at the drain deadline")
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -95,6 +95,9 @@
 // Serve accepts connections until Shutdown, after which it returns
 // http.ErrServerClosed.
 func (s *Server) Serve(listener net.Listener) error {
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		listener = NewStopListener(tcp)
+	}
 	s.mu.Lock()
 	if s.ending.Load() {
 		s.mu.Unlock()
@@ -150,7 +153,7 @@
 // all connections. Connections that the kernel has accepted are served first:
 // closing a listener resets them, and with them requests that clients have sent.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.acceptLast()
+	s.acceptLast(ctx)
 	s.mu.Lock()
 	s.closing = true
 	for _, listener := range s.listeners {
@@ -178,18 +181,16 @@
 
 // acceptLast lets Serve take the connections that the kernel has accepted, and
 // ends it.
-func (s *Server) acceptLast() {
+func (s *Server) acceptLast(ctx context.Context) {
 	s.mu.Lock()
 	s.ending.Store(true)
 	listeners := s.listeners
 	s.mu.Unlock()
 	for _, listener := range listeners {
-		bounded, ok := listener.(interface {
-			SetDeadline(deadline time.Time) error
-		})
-		if !ok || bounded.SetDeadline(time.Now().Add(shutdownPoll)) != nil {
-			_ = listener.Close()
+		if graceful, ok := listener.(*StopListener); ok && graceful.Stop(ctx) == nil {
+			continue
 		}
+		_ = listener.Close()
 	}
 	s.accepting.Wait()
 }
--- /dev/null
+++ b/io/http1/stop_test.go
@@ -0,0 +1,99 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func stopListener(t *testing.T) *StopListener {
+	t.Helper()
+	inner, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewStopListener(inner)
+}
+
+// Guards against a stop of a server of net/http that resets connections which
+// the kernel has accepted while the process had no time to: the requests on them
+// had been sent.
+func TestStopListenerServesWhatHasArrived(t *testing.T) {
+	is := is.New(t)
+	listener := stopListener(t)
+	conns := make([]net.Conn, 0, 100)
+	for range cap(conns) {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		conns = append(conns, conn)
+	}
+	server := &http.Server{ReadHeaderTimeout: limit, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	is.NoErr(listener.Stop(ctx))
+	for _, conn := range conns {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusNoContent)
+		is.NoErr(response.Body.Close())
+	}
+	is.True(errors.Is(<-served, net.ErrClosed))
+	_, err := net.Dial("tcp", listener.Addr().String())
+	is.True(err != nil)
+	is.NoErr(server.Close())
+}
+
+// Guards against a stop that waits for a server which has ended, or for clients
+// that connect without end.
+func TestStopListenerIsBounded(t *testing.T) {
+	is := is.New(t)
+	listener := stopListener(t)
+	ctx, cancel := context.WithTimeout(context.Background(), short)
+	defer cancel()
+	is.True(errors.Is(listener.Stop(ctx), context.DeadlineExceeded))
+
+	listener = stopListener(t)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			if conn, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+				_ = conn.Close()
+			}
+		}
+	}()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	ctx, cancel = context.WithTimeout(context.Background(), 2*short)
+	defer cancel()
+	began := time.Now()
+	// Whether the limit or a pause of the clients ends it does not matter.
+	_ = listener.Stop(ctx)
+	is.True(time.Since(began) < limit)
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -80,6 +80,8 @@
 
 // Leave refuses a request because this daemon is about to end.
 func (h *Handler) Leave(w http.ResponseWriter, _ *http.Request) {
+	// The sender must not use the connection when it is closed next.
+	w.Header().Set("Connection", "close")
 	h.refuse(w, refusal.New(refusal.Leaving, refusal.NotRun))
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -79,6 +79,8 @@
 	settings atomic.Pointer[platform.Settings]
 	log      *zap.Logger
 	metrics  *telemetry.Metrics
+	// listeners holds the listeners of the servers of net/http.
+	listeners map[*http.Server]*http1.StopListener
 	// metricsPort serves the metrics; zero takes any free port.
 	metricsPort int
 	requests    *requestLog
@@ -136,6 +138,7 @@
 		store:       platform.NewStore(settings.StoreAddress),
 		chooser:     placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
 		news:        make(chan struct{}, 1),
+		listeners:   map[*http.Server]*http1.StopListener{},
 		nearBoard:   gossip.NewBoard(gossip.NearReports),
 		farBoard:    gossip.NewBoard(gossip.FarReports),
 	}
@@ -321,7 +324,11 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	if _, plain := server.(*http.Server); plain {
+	if plain, ok := server.(*http.Server); ok {
+		if tcp, ok := listener.(*net.TCPListener); ok {
+			graceful := http1.NewStopListener(tcp)
+			d.listeners[plain], listener = graceful, graceful
+		}
 		listener = http1.Listener{Listener: listener}
 	}
 	go func() {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -48,6 +48,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(stopPoll, deadline.Sub(d.now())))
 	defer cancel()
+	if err := d.listeners[s.hops].Stop(ctx); err != nil {
+		d.log.Warn("connections of other daemons may have been reset", zap.Error(err))
+	}
 	var ending sync.WaitGroup
 	for _, server := range []interface {
 		Shutdown(ctx context.Context) error
