Take the newest copy heard at a start, and close all sockets at a stop

Cause: a daemon that starts with nothing asked any neighbour that had a copy, also one that lags behind, and so could use a backend server that had left until the next fetch. A stopped daemon left its control sockets to the end of the process. Ruled out: copies from before the restart; a daemon keeps nothing. Before: TestFirstCopyIsTheNewestHeard fails on the former code, which draws one; TestRestartKnowsWhatHasLeft cannot start the daemon again (address in use). After: both pass. TestSilentPeerKeepsItsWork passes on both: work on a silent host is neither given up nor started again.

--- a/io/http1/hostile_test.go
+++ b/io/http1/hostile_test.go
@@ -284,3 +284,22 @@
 	_, err := pool.Do(ctx, stranger, get("1"))
 	is.True(err != nil)
 }
+
+// Guards against work that is given up, or started again elsewhere, because the
+// host that runs it is silent for longer than a connection may leave bytes
+// without acknowledgement.
+func TestSilentPeerKeepsItsWork(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int64
+	address := peer(t, func(conn net.Conn, _ *bufio.Reader) {
+		arrivals.Add(1)
+		time.Sleep(5 * short)
+		_, _ = io.WriteString(conn, answer("1", "late"))
+	})
+	pool := NewPool(PoolOptions{DialTimeout: limit, IdleLimit: limit, MaxBody: 1 << 20, SendTimeout: short})
+	t.Cleanup(pool.Clear)
+	got, err := pool.Do(context.Background(), address, get("1"))
+	is.NoErr(err)
+	is.Equal(string(got.Body), "late")
+	is.Equal(arrivals.Load(), int64(1))
+}
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -338,3 +338,24 @@
 	f.hosts[0].ended <- nil
 	is.Equal(f.call(f.hosts[1], http.MethodGet, "/stock/1", "after").Status, http.StatusOK)
 }
+
+// Guards against a backend server that left while a daemon was down being in use
+// again after that daemon's restart, also when the store turns it away.
+func TestRestartKnowsWhatHasLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "counter", "counter", "counter")
+	f.serving()
+	restarted, left := f.hosts[2], f.hosts[1]
+	restarted.stop()
+	is.NoErr(<-restarted.ended)
+	f.store.Delete(platformtest.ServerPrefix + left.backend.Name)
+	f.until(func() bool { return len(f.hosts[0].listed()) == len(f.hosts)-1 })
+	f.store.Refuse(func(string) bool { return true })
+	before := len(left.backend.Arrivals())
+	f.start(restarted)
+	f.until(func() bool { return f.ready(restarted) })
+	for i := range 50 {
+		is.Equal(f.call(restarted, http.MethodGet, "/stock/1", fmt.Sprint("after-", i)).Status, http.StatusOK)
+	}
+	is.Equal(len(left.backend.Arrivals()), before)
+}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -257,6 +257,12 @@
 	}
 	var near, far []string
 	first := true
+	wanted := asOf + 1
+	if asOf == 0 {
+		// A daemon that has just started must not take servers back into use that
+		// have left since a copy which lags behind was made.
+		wanted = m.newest
+	}
 	m.newest = asOf
 	for address := range m.heard {
 		beacon := m.heard[address]
@@ -266,7 +272,7 @@
 			first = false
 		}
 		switch {
-		case beacon.Revision <= asOf:
+		case beacon.Revision < wanted:
 		case same:
 			near = append(near, beacon.Address)
 		default:
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -62,7 +63,8 @@
 		})
 	}
 	ending.Wait()
-	d.log.Info("stopped", zap.Int64("requests", d.active.Load()), zap.Duration("took", d.now().Sub(began)))
+	err := errors.Join(s.control.Close(), s.readiness.Close(), s.metrics.Close(), s.beacons.Close())
+	d.log.Info("stopped", zap.Error(err), zap.Int64("requests", d.active.Load()), zap.Duration("took", d.now().Sub(began)))
 }
 
 // quiet reports whether clients have noticed the stop.
