Leave the last repeat to the most urgent requests, and fuzz what sockets bring

Ruled out: repeats for clients that come back; the time that they state varies by 15%, which hides the second that they have waited.

--- a/core/retry/ledger.go
+++ b/core/retry/ledger.go
@@ -14,8 +14,9 @@
 	// callShare is clientShare for calls that running requests make. Repeats of
 	// requests also repeat these, so they earn less.
 	callShare = 0.4
-	// slackShare is the part of the allowed slack that all daemons save together.
-	slackShare = 0.5
+	// leastSaved is what a daemon can save at least: one repeat for the most urgent
+	// requests, and one for others.
+	leastSaved = 2.0
 	// startTokens is what a daemon has at its start. A fleet in which many restart
 	// must not start with the slack of each.
 	startTokens = 1.0
@@ -43,13 +44,14 @@
 // Ledger is one daemon's part of the repeats that the platform allows for each
 // service. A repeat of a request also repeats the calls that its run makes, and
 // these count at the services that are called; so a route is not repeated while
-// one of them has no repeats left, and its calls are charged there.
+// one of them has no repeats left, and its calls are charged there. The last
+// repeat that is saved is left to the most urgent requests for the service.
 //
 // Usage:
 //
 //	ledger := retry.NewLedger(func() retry.Terms { ... })
 //	ledger.First("counter", false)
-//	if ledger.Take("counter", "r-1") {
+//	if ledger.Take("counter", "r-1", rank) {
 //		calls := sendAgain()
 //		ledger.Repeated("r-1", calls)
 //	}
@@ -60,13 +62,17 @@
 
 	mu     sync.Mutex
 	tokens map[id.Service]float64
+	// urgent is the rank of the most urgent requests for a service so far.
+	urgent map[id.Service]int
 	// calls is the mean number of calls of one run of a route.
 	calls map[string]map[id.Service]float64
 }
 
 // NewLedger returns a ledger under terms that may change.
 func NewLedger(terms func() Terms) *Ledger {
-	return &Ledger{terms: terms, tokens: map[id.Service]float64{}, calls: map[string]map[id.Service]float64{}}
+	return &Ledger{
+		terms: terms, tokens: map[id.Service]float64{}, urgent: map[id.Service]int{}, calls: map[string]map[id.Service]float64{},
+	}
 }
 
 // First records a request for the service that is no repeat: of a client, or a
@@ -87,7 +93,7 @@
 	if t.Ratio <= 0 {
 		return 0
 	}
-	return max(1, slackShare*t.Slack/float64(max(1, t.Daemons)))
+	return max(leastSaved, t.Slack/float64(max(1, t.Daemons)))
 }
 
 func (l *Ledger) of(service id.Service) float64 {
@@ -98,14 +104,15 @@
 }
 
 // Take uses one repeat of a request of the route for the service, if there is
-// one, and if the services that its runs call have repeats left as well.
-func (l *Ledger) Take(service id.Service, route string) bool {
+// one, and if the services that its runs call have repeats left as well. A lower
+// rank is more urgent.
+func (l *Ledger) Take(service id.Service, route string, rank int) bool {
 	if l.terms().Ratio <= 0 {
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.of(service) < 1 {
+	if l.of(service) < l.needed(service, rank) {
 		return false
 	}
 	for called, mean := range l.calls[route] {
@@ -117,6 +124,19 @@
 	return true
 }
 
+// needed returns the tokens that a repeat needs; it uses one of them.
+func (l *Ledger) needed(service id.Service, rank int) float64 {
+	urgent, known := l.urgent[service]
+	if !known || rank < urgent {
+		l.urgent[service] = rank
+		urgent = rank
+	}
+	if rank > urgent {
+		return 2
+	}
+	return 1
+}
+
 // Repeated charges the calls that a repeat has made. Nil calls are unknown, and
 // the mean of the route counts.
 func (l *Ledger) Repeated(route string, calls map[id.Service]int) {
--- /dev/null
+++ b/io/http1/fuzz_test.go
@@ -0,0 +1,92 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// fuzzWait bounds one exchange of the fuzz tests.
+const fuzzWait = 50 * time.Millisecond
+
+// Guards against bytes in place of an answer that end the process, hang beyond
+// the deadline, or are taken for the answer to another request.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{
+		answer("1", "body"), answer("0", "late") + answer("1", "body"), "HTTP/1.1 100 Continue\r\n\r\n" + answer("1", ""),
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = listener.Close() })
+	received := make(chan []byte)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Write(<-received)
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}
+	}()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		pool := NewPool(PoolOptions{
+			DialTimeout: limit, IdleLimit: limit, MaxBody: 1 << 10,
+			RequestID: func(header http.Header) string { return header.Get("Id") },
+		})
+		defer pool.Clear()
+		go func() { received <- data }()
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		got, err := pool.Do(ctx, listener.Addr().String(), get("1"))
+		if err == nil && got.Header.Get("Id") != "" && got.Header.Get("Id") != "1" {
+			t.Fatal("an answer to another request")
+		}
+	})
+}
+
+// Guards against bytes of a client that end the process or keep a connection
+// beyond its limits.
+func FuzzRequest(f *testing.F) {
+	for _, seed := range []string{
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"GET / HTTP/1.0\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	server := NewServer(ServerOptions{Handler: echo, Limits: func() Limits {
+		return Limits{HeaderTimeout: fuzzWait, IdleTimeout: fuzzWait, HeaderBytes: 1 << 10, BodyBytes: 1 << 10}
+	}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	f.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Write(data)
+		_ = conn.SetReadDeadline(time.Now().Add(limit))
+		if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("the connection stays open")
+		}
+	})
+}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -45,7 +45,7 @@
 			}
 		}
 		if refused == nil || reached(refused) {
-			if j.record.Arrivals >= j.route.Attempts || !h.options.Repeats.Take(j.service, j.route.Name) {
+			if j.record.Arrivals >= j.route.Attempts || !h.options.Repeats.Take(j.service, j.route.Name, j.route.Priority) {
 				break
 			}
 		}
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -65,7 +65,7 @@
 // Repeats bounds the requests that are sent to a further backend server.
 type Repeats interface {
 	First(service id.Service, call bool)
-	Take(service id.Service, route string) bool
+	Take(service id.Service, route string, rank int) bool
 	Repeated(route string, calls map[id.Service]int)
 	Learn(route string, calls map[id.Service]int)
 }
