--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -218,7 +218,7 @@
 	active atomic.Int64
 	// unread is set when bytes of a request are left that was refused. It is set
 	// before the answer is handed over.
-	unread bool
+	unread atomic.Bool
 	ctx    context.Context //nolint:containedctx // It is the life of the connection.
 	cancel context.CancelCauseFunc
 }
@@ -275,7 +275,7 @@
 // close closes the connection. Where bytes are left unread that would reset it,
 // and with it the answer on its way, so they are taken for a short while.
 func (c *serverConn) close() {
-	if half, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok && c.unread && half.CloseWrite() == nil {
+	if half, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok && c.unread.Load() && half.CloseWrite() == nil {
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
 		// Whatever ends it, the connection is closed next.
 		_, _ = io.CopyN(io.Discard, c.conn, lingerBytes)
@@ -352,7 +352,7 @@
 	case errors.Is(err, errBodyTooLong):
 		status = http.StatusRequestEntityTooLarge
 	}
-	c.unread = true
+	c.unread.Store(true)
 	c.expect() <- &Answer{Status: status, Header: http.Header{"Connection": {"close"}}}
 }
 
@@ -362,7 +362,7 @@
 	limit := c.server.options.Limits().BodyBytes
 	if limit > 0 && request.ContentLength > limit {
 		// The handler refuses it by its length.
-		c.unread = true
+		c.unread.Store(true)
 		c.expect() <- c.handle(request)
 		return false
 	}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -176,16 +176,15 @@
 // followPeers fetches changes from other daemons that are ahead.
 func (d *Daemon) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
+		// A daemon may have less than it told, after a restart for one.
+		sleep(ctx, fetchInterval)
 		address, found := d.members.ahead(d.mirror.AsOf())
 		if !found {
 			await(ctx, d.news)
-			// Further news may lie on the way.
-			sleep(ctx, fetchInterval)
 			continue
 		}
 		err := contain.Call(func() error { return d.fetch(ctx, address) })
 		if errors.Is(err, control.ErrBusy) {
-			sleep(ctx, fetchInterval)
 			continue
 		}
 		if contain.Stack(err) != "" {
@@ -298,7 +297,8 @@
 // beacon returns what this daemon tells of itself.
 func (d *Daemon) beacon() control.Beacon {
 	return control.Beacon{
-		Domain: d.settings.Load().Domain, Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(), Link: d.settings.Load().LinkRate, Load: d.local.Load(),
+		Domain: d.settings.Load().Domain, Link: d.settings.Load().LinkRate, Load: d.local.Load(),
+		Revision: d.mirror.AsOf(), StoreAge: d.storeAge(), ReadAge: d.readAge(),
 		Boot: uint64(d.started.UnixNano()), Sequence: d.sequence.Add(1),
 	}
 }
