Give requests on their way a quarter of a second at a stop

Cause: at a stop the server waits 50 ms for requests on connections that were just accepted; on a machine with a load average of 30 the goroutine that reads may not run within that. Ruled out: a look at the socket itself; the reader owns it. Before: 50 ms. No failure was seen; this follows from reading the code. After: 250 ms, short against the seconds of every stop.

--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -28,8 +28,9 @@
 	// shutdownPoll is how often Shutdown looks whether connections have ended.
 	shutdownPoll = 5 * time.Millisecond
 	// shutdownRead is how long Shutdown waits for requests that are on their way
-	// on connections that the kernel or the server has accepted.
-	shutdownRead = 50 * time.Millisecond
+	// on connections that the kernel or the server has accepted. A busy host may
+	// take a part of it to run the goroutine that reads.
+	shutdownRead = 250 * time.Millisecond
 	// lingerTime and lingerBytes bound what is taken of a refused request after
 	// its answer. net/http lingers as long.
 	lingerTime  = 500 * time.Millisecond
