Record and log what backend servers announce in their responses

Cause: Server-Limit and Server-Leaving pass through the daemons unread, so logs and metrics cannot show which daemon knew of a limit when it was exceeded. Ruled out: logging each header; a server repeats its announcement in every response. Before: no line and no metric names a limit. After: core/announcement keeps the latest announcement of each backend server process; lines for a changed limit and for a server that leaves; gauges for the limit of the host's server and for the requests admitted to it. No decision depends on them yet. go test ./sidecar ./io/server ./platform ./core/... passes.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -225,6 +225,13 @@
 	return g.running, g.queue.total
 }
 
+// Granted returns the number of tickets granted so far.
+func (g *Gate) Granted() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.grants
+}
+
 func (g *Gate) tryAcquire(now id.Instant, class document.Class, deadline, queueDeadline id.Instant) (*Ticket, *waiter, refusal.Reason) {
 	return g.tryAcquireRank(now, classRank(class), deadline, queueDeadline)
 }
--- /dev/null
+++ b/core/announcement/announcement.go
@@ -0,0 +1,134 @@
+// Package announcement remembers what backend servers announce about themselves in
+// their responses: a limit of requests, or that they are leaving.
+//
+// An announcement belongs to one process of a backend server and is kept as long as
+// that process may live, also while the platform's list lacks the server. A daemon that
+// has restarted knows no announcements. It gets the limit of the backend server on its
+// own host from the requests of the daemons that know it (see Adopt).
+//
+// # Usage
+//
+//	table := announcement.NewTable()
+//	change := table.Record(server.Process(), announced, sentAt, now)
+//	limit := table.Get(server.Process()).Limit
+package announcement
+
+import (
+	"sync"
+	"time"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
+)
+
+// retention is how long an announcement is kept after the last response of its process.
+// No process takes as long to leave, and a fleet that replaces a thousand backend
+// servers a day stays below a megabyte.
+const retention = 24 * time.Hour
+
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
+// Limit is the rate of requests that a backend server accepts from all daemons
+// together. The zero value is no limit.
+type Limit struct {
+	// Announced is set if there is a limit. A limit may be zero.
+	Announced bool
+	Rate      RequestRate
+}
+
+// Announcement is what a backend server announces in one response.
+type Announcement struct {
+	Limit Limit
+	// Leaving is set if the server is about to stop.
+	Leaving bool
+}
+
+// LearnedLimit is a limit and when a daemon got it from the backend server.
+type LearnedLimit struct {
+	Limit Limit
+	At    id.Instant
+}
+
+// Change says what a response has changed.
+type Change struct {
+	Previous, Latest Announcement
+}
+
+// LimitChanged reports whether the limit was set, changed or lifted.
+func (c Change) LimitChanged() bool { return c.Previous.Limit != c.Latest.Limit }
+
+// LeavingChanged reports whether the server has started to leave.
+func (c Change) LeavingChanged() bool { return c.Previous.Leaving != c.Latest.Leaving }
+
+// Table holds the announcements of all backend servers. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	entries map[backend.Process]*entry
+	// evictAt is when entries are next checked against retention.
+	evictAt id.Instant
+}
+
+type entry struct {
+	announcement Announcement
+	// limitAt is when the limit was last announced.
+	limitAt id.Instant
+	// firsthand is set once a response has reached this daemon.
+	firsthand bool
+	updatedAt id.Instant
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: map[backend.Process]*entry{}} }
+
+// Record applies the announcement of a response to a request that was sent at the given
+// instant. Responses may overtake each other: one without a limit lifts the limit only
+// if its request was sent after the limit was last announced. A server that is leaving
+// does not come back.
+func (t *Table) Record(process backend.Process, announced Announcement, sentAt, now id.Instant) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.entries[process]
+	if known == nil {
+		if announced == (Announcement{}) {
+			return Change{}
+		}
+		known = &entry{}
+		t.entries[process] = known
+	}
+	change := Change{Previous: known.announcement}
+	known.firsthand, known.updatedAt = true, now
+	known.announcement.Leaving = known.announcement.Leaving || announced.Leaving
+	switch {
+	case announced.Limit.Announced:
+		known.announcement.Limit, known.limitAt = announced.Limit, now
+	case known.limitAt < sentAt:
+		known.announcement.Limit = Limit{}
+	}
+	change.Latest = known.announcement
+	t.evict(now)
+	return change
+}
+
+// evict removes the entries that are older than retention, at most once per retention.
+func (t *Table) evict(now id.Instant) {
+	if now.Before(t.evictAt) {
+		return
+	}
+	t.evictAt = now.Add(retention)
+	for process, known := range t.entries {
+		if now.Sub(known.updatedAt) > retention {
+			delete(t.entries, process)
+		}
+	}
+}
+
+// Get returns the latest announcement of the process.
+func (t *Table) Get(process backend.Process) Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.entries[process]; known != nil {
+		return known.announcement
+	}
+	return Announcement{}
+}
--- /dev/null
+++ b/core/announcement/announcement_test.go
@@ -0,0 +1,55 @@
+package announcement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
+)
+
+var (
+	process = backend.Process{ID: "i-1", Born: 1}
+	limited = Announcement{Limit: Limit{Announced: true, Rate: 5}}
+)
+
+const start = id.Instant(1000 * time.Hour)
+
+// Guards against a response that was overtaken by others lifting a limit that the
+// backend server still announces.
+func TestOvertakenResponseDoesNotLiftLimit(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	sentBefore := start
+	is.True(table.Record(process, limited, start, start.Add(time.Second)).LimitChanged())
+	is.Equal(table.Record(process, Announcement{}, sentBefore, start.Add(2*time.Second)).Latest, limited)
+	change := table.Record(process, Announcement{}, start.Add(3*time.Second), start.Add(4*time.Second))
+	is.True(change.LimitChanged())
+	is.Equal(table.Get(process), Announcement{})
+}
+
+// Guards against a backend server that leaves being used again after a response
+// without the announcement, and against blaming its successor under the same ID.
+func TestLeavingIsFinalForProcess(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	is.True(table.Record(process, Announcement{Leaving: true}, start, start).LeavingChanged())
+	is.True(!table.Record(process, Announcement{}, start.Add(time.Second), start.Add(2*time.Second)).LeavingChanged())
+	is.True(table.Get(process).Leaving)
+	is.True(!table.Get(backend.Process{ID: process.ID, Born: 2}).Leaving)
+}
+
+// Guards against a table that grows with every backend server that ever announced
+// something, and against one that forgets a process while it still responds.
+func TestEviction(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	other := backend.Process{ID: "i-2"}
+	table.Record(process, limited, start, start)
+	table.Record(other, limited, start, start.Add(retention/2))
+	table.Record(other, limited, start, start.Add(retention+time.Second))
+	is.Equal(len(table.entries), 1)
+	is.Equal(table.Get(other), limited)
+}
--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -59,6 +59,15 @@
 	ColdUntil id.Instant
 }
 
+// Process identifies one process of a backend server.
+type Process struct {
+	ID   ID
+	Born id.Instant
+}
+
+// Process returns the process that the entry describes.
+func (s *Server) Process() Process { return Process{ID: s.ID, Born: s.Born} }
+
 // Table holds the listed backend servers. It is not safe for concurrent use.
 type Table struct {
 	servers map[ID]Server
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -72,6 +72,9 @@
 	Link *link.Link
 	// Refused is called for each request that got no response here. It may be nil.
 	Refused func(requestID string, call relay.Call, refused *refusal.Error)
+	// Responded is called for each response of the backend server, with the instant at
+	// which its request was sent. It may be nil.
+	Responded func(server *backend.Server, header http.Header, sentAt id.Instant)
 }
 
 // Server forwards requests to the backend server on this host. It is safe for
@@ -143,6 +146,9 @@
 // Current returns the backend server listed at the address, or nil.
 func (s *Server) Current() *backend.Server { return s.current.Load() }
 
+// Sent returns the number of requests that were admitted to the backend server.
+func (s *Server) Sent() uint64 { return s.gate.Granted() }
+
 // Load returns a load report for the backend server.
 func (s *Server) Load() placement.Report {
 	running, queued := s.gate.Load()
@@ -233,7 +239,9 @@
 		s.recordResult(started, refused.Reason != refusal.DeadlinePassed && refused.Reason != refusal.CallerGone, false)
 		return nil, refused
 	}
-	if refused := s.classify(response); refused != nil {
+	refused = s.classify(response)
+	s.recordResponse(active.server, response, refused, started)
+	if refused != nil {
 		s.recordResult(started, true, false)
 		return nil, refused
 	}
@@ -250,6 +258,15 @@
 	return response, nil
 }
 
+// recordResponse passes a response to Options.Responded, unless it may come from
+// something else than the backend server.
+func (s *Server) recordResponse(server *backend.Server, response *http1.Response, refused *refusal.Error, sentAt id.Instant) {
+	if s.options.Responded == nil || server == nil || refused != nil && refused.Reason != refusal.BackendShed {
+		return
+	}
+	s.options.Responded(server, response.Header, sentAt)
+}
+
 // recordResult updates the statistics with the result of a request. A request that
 // was abandoned, at its deadline or by its client, counts as a failure of the
 // backend server if it ran for more than hangThresholdFactor times the mean.
--- a/sidecar/sender.go
+++ b/sidecar/sender.go
@@ -18,7 +18,12 @@
 func (s sender) Do(ctx context.Context, target *backend.Server, call relay.Call, request *http1.Request) (*http1.Response, *refusal.Error) {
 	current := s.d.localBackend.Current()
 	if current == nil || current.ID != target.ID {
-		return s.d.relay.Do(ctx, target, call, request)
+		sentAt := s.d.now()
+		response, refused := s.d.relay.Do(ctx, target, call, request)
+		if refused == nil {
+			s.d.recordResponse(target, response.Header, sentAt)
+		}
+		return response, refused
 	}
 	outgoing := *request
 	outgoing.Header = request.Header.Clone()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -25,7 +25,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
+	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/gossip"
 	"marjoramsaddle/core/id"
@@ -101,6 +103,9 @@
 
 	storeState *storeState
 	members    *members
+	// announcements holds what backend servers have announced in their responses.
+	announcements       *announcement.Table
+	announcementLimiter *rate.Limiter
 	// newerRevision is signaled after another daemon announced a newer revision,
 	// readNeeded after this daemon was found to have to read the store.
 	newerRevision, readNeeded chan struct{}
@@ -141,6 +146,7 @@
 		startedAt:     time.Now(),
 		mirror:        mirror.New(),
 		store:         platform.NewStore(settings.StoreAddress),
+		announcements: announcement.NewTable(), announcementLimiter: newAnnouncementLimiter(),
 		chooser:       placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
 		configured:    make(chan struct{}),
 		newerRevision: make(chan struct{}, 1),
@@ -173,13 +179,14 @@
 		Refused: func(requestID string, call relay.Call, refused *refusal.Error) {
 			d.requestLogger.Refused(requestID, call, refused, d.localBackend.Load())
 		},
+		Responded: d.recordResponse,
 	})
 	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
 	d.peerClient = control.NewClient(d.hopPool)
 	d.members = newMembers(settings, d.now)
 	d.retryBudget = retry.NewFleetBudget(d.retryLimits)
 	d.storeState = newStoreState(d)
-	return d, nil
+	return d, d.registerBackendGauges()
 }
 
 // seed returns a random seed that differs between daemons.
