core/admission: keep the limit that a backend server announces

Callers saw nothing; backend servers in need got up to 1.9 times the requests that they had announced to take. Cause: Server-Limit passed through the daemons as an unknown header. Only slots and connections bounded the requests to a server, and a server that asks for less has as many of them as before. Ruled out: sharing the limit among the daemons. All requests to a server pass the daemon on its host, so a token bucket there bounds the sum of all hosts, whatever they know. Why it works: a ticket of the gate takes a token. The queue, its ranks and its refusals are those for slots, so urgent requests go first and what cannot be served in time is refused at once (server_limited). The load report counts the slots that are in use at the limit, so other daemons send requests elsewhere. A restart of the daemon on the server's host still forgets the limit.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -1,7 +1,8 @@
 // Package admission limits the calls that reach the backend server of this host.
 //
-// A Gate grants as many tickets as the backend server has slots, queues the calls that
-// get none, and refuses those that would wait too long. Every refusal happens before a
+// A Gate grants as many tickets as the backend server has slots, at no higher rate than
+// the server accepts (see SetLimit), queues the calls that get none, and refuses those
+// that would wait too long. Every refusal happens before a
 // byte of the request is sent, so its outcome is not_run.
 //
 // The queue is bounded in length and in time. Calls are served by class (order, lookup,
@@ -34,6 +35,7 @@
 	"sync/atomic"
 	"time"
 
+	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/document"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
@@ -62,6 +64,7 @@
 	ramp            time.Duration
 	startedAt       id.Instant
 	queue           queue
+	limiter         limiter
 	running         int
 	grants          uint64
 	latest          id.Instant
@@ -155,15 +158,21 @@
 	return g.queue.total
 }
 
-// NextDeadline returns the deadline of the queued call that expires first among the
-// oldest of each class, or zero if none is queued.
+// NextDeadline returns when Expire next has something to do: the deadline of the queued
+// call that expires first among the oldest of each class, or the instant at which the
+// limit of the rate allows the next ticket. It returns zero if no call is queued.
 func (g *Gate) NextDeadline() id.Instant {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if first := g.queue.earliestDeadline(); first != nil {
-		return min(first.queueDeadline, first.deadline)
+	first := g.queue.earliestDeadline()
+	if first == nil {
+		return 0
 	}
-	return 0
+	next := min(first.queueDeadline, first.deadline)
+	if g.running < g.capacity() && !g.limiter.allows() {
+		next = min(next, g.latest.Add(g.limiter.wait(1)))
+	}
+	return next
 }
 
 // Resync re-checks the queued calls after the process was paused. The service times of
@@ -200,6 +209,16 @@
 	g.dispatch()
 }
 
+// SetLimit bounds the rate at which tickets are granted by the limit that the backend
+// server announces.
+func (g *Gate) SetLimit(now id.Instant, limit announcement.Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advanceClock(now)
+	g.limiter.set(limit, g.latest)
+	g.dispatch()
+}
+
 // Drain refuses new and queued calls as leaving. Running calls finish.
 func (g *Gate) Drain() {
 	g.mu.Lock()
@@ -248,7 +267,7 @@
 		return nil, nil, refusal.DeadlinePassed
 	}
 	g.dispatch()
-	if g.queue.total == 0 && g.running < g.capacity() {
+	if g.queue.total == 0 && g.canGrant() {
 		return g.grant(), nil, refusal.None
 	}
 	queued := &waiter{rank: rank, deadline: deadline, queueDeadline: queueDeadline, done: make(chan struct{})}
@@ -268,7 +287,14 @@
 
 // lateReason returns why the call would not get a slot in time, or None.
 func (g *Gate) lateReason(w *waiter) refusal.Reason {
-	rounds := float64(g.queue.ahead(w.rank)+1) / float64(g.capacity())
+	position := g.queue.ahead(w.rank) + 1
+	if wait := g.limiter.wait(position); wait > 0 {
+		start := g.latest.Add(wait)
+		if !start.Before(w.queueDeadline) || g.endsLate(start, w) {
+			return refusal.ServerLimited
+		}
+	}
+	rounds := float64(position) / float64(g.capacity())
 	start := g.latest.Add(time.Duration(rounds * float64(g.meanServiceTime)))
 	if !start.Before(w.queueDeadline) || g.endsLate(start, w) {
 		return refusal.QueueDeadline
@@ -300,9 +326,12 @@
 	return true
 }
 
+// canGrant reports whether a slot is free and the limit of the rate allows its use.
+func (g *Gate) canGrant() bool { return g.running < g.capacity() && g.limiter.allows() }
+
 // dispatch grants free slots to queued calls.
 func (g *Gate) dispatch() {
-	for g.queue.total > 0 && g.running < g.capacity() {
+	for g.queue.total > 0 && g.canGrant() {
 		next := g.queue.oldestOfBestRank()
 		if g.grants%fairnessInterval == fairnessInterval-1 {
 			next = g.queue.earliestDeadline()
@@ -317,6 +346,7 @@
 }
 
 func (g *Gate) grant() *Ticket {
+	g.limiter.take()
 	g.running++
 	g.grants++
 	return &Ticket{gate: g, GrantedAt: g.latest}
@@ -360,6 +390,7 @@
 	// service time because nothing ran.
 	if w.ticket != nil {
 		w.ticket.released.Store(true)
+		g.limiter.giveBack()
 		g.freeSlot()
 	}
 }
@@ -383,7 +414,10 @@
 
 // advanceClock keeps the latest instant, because goroutines read the clock before they
 // take the lock and may arrive out of order.
-func (g *Gate) advanceClock(now id.Instant) { g.latest = max(g.latest, now) }
+func (g *Gate) advanceClock(now id.Instant) {
+	g.latest = max(g.latest, now)
+	g.limiter.fill(g.latest)
+}
 
 // capacity returns the number of usable slots at this point of the ramp.
 func (g *Gate) capacity() int {
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -47,6 +47,7 @@
 	Busy                            // busy
 	CallerGone                      // caller_gone
 	LinkBusy                        // link_busy
+	ServerLimited                   // server_limited
 	reasonCount                     // end
 )
 
--- a/core/refusal/refusal_string.go
+++ b/core/refusal/refusal_string.go
@@ -34,12 +34,13 @@
 	_ = x[Busy-23]
 	_ = x[CallerGone-24]
 	_ = x[LinkBusy-25]
-	_ = x[reasonCount-26]
+	_ = x[ServerLimited-26]
+	_ = x[reasonCount-27]
 }
 
-const _Reason_name = "noneno_configurationfloor_unknownresyncingno_routeno_endpointleavingqueue_fullqueue_deadlinedeadline_passedrate_limitedbody_too_largebad_requestdepth_exceededconnect_failedbackend_shedbackend_brokenhop_brokenretry_budget_spentin_progressrecord_unavailablewrong_identitytoo_many_linksbusycaller_gonelink_busyend"
+const _Reason_name = "noneno_configurationfloor_unknownresyncingno_routeno_endpointleavingqueue_fullqueue_deadlinedeadline_passedrate_limitedbody_too_largebad_requestdepth_exceededconnect_failedbackend_shedbackend_brokenhop_brokenretry_budget_spentin_progressrecord_unavailablewrong_identitytoo_many_linksbusycaller_gonelink_busyserver_limitedend"
 
-var _Reason_index = [...]uint16{0, 4, 20, 33, 42, 50, 61, 68, 78, 92, 107, 119, 133, 144, 158, 172, 184, 198, 208, 226, 237, 255, 269, 283, 287, 298, 307, 310}
+var _Reason_index = [...]uint16{0, 4, 20, 33, 42, 50, 61, 68, 78, 92, 107, 119, 133, 144, 158, 172, 184, 198, 208, 226, 237, 255, 269, 283, 287, 298, 307, 321, 324}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/core/refusal/remedy.go
+++ b/core/refusal/remedy.go
@@ -26,6 +26,7 @@
 	Busy:              "retry after the given time",
 	CallerGone:        "none is needed",
 	LinkBusy:          "retry later or give the host a faster link",
+	ServerLimited:     "retry later or add backend servers",
 }
 
 // Remedy returns what the caller or operator can do about the refusal.
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -169,7 +169,12 @@
 // isCapacityRefusal reports whether the backend server may accept the request a
 // little later.
 func isCapacityRefusal(reason refusal.Reason) bool {
-	return reason == refusal.QueueFull || reason == refusal.QueueDeadline || reason == refusal.LinkBusy
+	switch reason {
+	case refusal.QueueFull, refusal.QueueDeadline, refusal.LinkBusy, refusal.ServerLimited:
+		return true
+	default:
+		return false
+	}
 }
 
 // resultOf returns the result of an attempt for the chooser.
@@ -180,9 +185,10 @@
 		}
 		return placement.Served
 	}
-	switch refused.Reason {
-	case refusal.QueueFull, refusal.QueueDeadline, refusal.LinkBusy:
+	if isCapacityRefusal(refused.Reason) {
 		return placement.Refused
+	}
+	switch refused.Reason {
 	case refusal.ConnectFailed, refusal.BackendBroken, refusal.HopBroken, refusal.BackendShed,
 		refusal.NoEndpoint, refusal.Leaving, refusal.WrongIdentity:
 		return placement.Failed
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -13,12 +13,14 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
@@ -83,6 +85,7 @@
 	options Options
 	gate    *admission.Gate
 	current atomic.Pointer[backend.Server]
+	limit   atomic.Pointer[announcement.Limit]
 	leaving atomic.Bool
 
 	mu             sync.Mutex
@@ -129,6 +132,12 @@
 	}
 }
 
+// SetLimit bounds the rate of requests by the limit that the backend server announces.
+func (s *Server) SetLimit(limit announcement.Limit) {
+	s.limit.Store(&limit)
+	s.gate.SetLimit(s.options.Now(), limit)
+}
+
 // resize adapts the gate to the number of slots.
 func (s *Server) resize(slots int) {
 	s.mu.Lock()
@@ -165,9 +174,21 @@
 	report.Service = max(s.service.mean, s.inProgress.meanAge(report.At))
 	report.FailureRate = s.failures.Value(report.At)
 	s.mu.Unlock()
+	report.Slots = s.usableSlots(report.Slots, report.Service)
 	return report
 }
 
+// usableSlots returns the slots that are in use when requests of the given service time
+// arrive at the limit that the backend server announces.
+func (s *Server) usableSlots(slots int, service time.Duration) int {
+	limit := s.limit.Load()
+	if limit == nil || !limit.Announced || service == 0 {
+		return slots
+	}
+	inUse := math.Ceil(float64(limit.Rate) * service.Seconds())
+	return int(max(1, min(float64(slots), inUse)))
+}
+
 // Expire refuses queued requests whose waiting time has run out. It returns when
 // the context ends.
 func (s *Server) Expire(ctx context.Context) {
--- a/sidecar/announcements.go
+++ b/sidecar/announcements.go
@@ -59,6 +59,7 @@
 	if change.LimitChanged() {
 		d.metrics.Control("server_announced", "limit")
 		d.logLimit(process, change.Latest.Limit, "response")
+		d.applyLimit()
 	}
 	if change.LeavingChanged() {
 		d.metrics.Control("server_announced", "leaving")
@@ -66,6 +67,16 @@
 	}
 }
 
+// applyLimit makes the latest limit of the local backend server take effect.
+func (d *Daemon) applyLimit() {
+	// Without the lock, an older limit could be set after a newer one.
+	d.limitMu.Lock()
+	defer d.limitMu.Unlock()
+	if current := d.localBackend.Current(); current != nil {
+		d.localBackend.SetLimit(d.announcements.Get(current.Process()).Limit)
+	}
+}
+
 // logLimit logs a changed limit and where it comes from.
 func (d *Daemon) logLimit(process backend.Process, limit announcement.Limit, source string) {
 	if !limit.Announced {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -106,6 +106,8 @@
 	// announcements holds what backend servers have announced in their responses.
 	announcements       *announcement.Table
 	announcementLimiter *rate.Limiter
+	// limitMu serializes changes of the local backend server's limit.
+	limitMu sync.Mutex
 	// newerRevision is signaled after another daemon announced a newer revision,
 	// readNeeded after this daemon was found to have to read the store.
 	newerRevision, readNeeded chan struct{}
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -132,6 +132,7 @@
 	s.d.chooser.SetServers(all)
 	s.d.members.setServers(all)
 	s.d.localBackend.SetCurrent(s.servers.ByAddress(s.d.settings.Load().BackendAddress))
+	s.d.applyLimit()
 }
 
 // expireServers removes lapsed entries that have not returned.
