sidecar: tell a restarted daemon the limit of its backend server

Callers saw nothing; a backend server got requests above its limit from the restart of the daemon on its host until that daemon had got a response of it. Cause: only the daemon on the server's host enforces the limit, and it holds it in memory. The daemons that still know it sent as before. Ruled out: asking the neighbours at start (one more exchange before the first request); a limit of each daemon for its own requests (the sum depends on the number of hosts). Why it works: a daemon that knows a limit names it, with its age, in each request to the server's host. The receiver adopts it before it admits that request, unless the server itself has responded to it or it knows a newer limit. So no daemon that knows the limit can have a request admitted that ignores it.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -44,7 +44,7 @@
 	Leaving bool
 }
 
-// LearnedLimit is a limit and when a daemon got it from the backend server.
+// LearnedLimit is a limit and when the backend server announced it to a daemon.
 type LearnedLimit struct {
 	Limit Limit
 	At    id.Instant
@@ -88,14 +88,7 @@
 func (t *Table) Record(process backend.Process, announced Announcement, sentAt, now id.Instant) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.entries[process]
-	if known == nil {
-		if announced == (Announcement{}) {
-			return Change{}
-		}
-		known = &entry{}
-		t.entries[process] = known
-	}
+	known := t.entry(process)
 	change := Change{Previous: known.announcement}
 	known.firsthand, known.updatedAt = true, now
 	known.announcement.Leaving = known.announcement.Leaving || announced.Leaving
@@ -110,6 +103,31 @@
 	return change
 }
 
+// Adopt applies a limit that another daemon has learned, unless this daemon has got a
+// response of the process itself or knows a newer limit.
+func (t *Table) Adopt(process backend.Process, learned LearnedLimit, now id.Instant) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.entry(process)
+	change := Change{Previous: known.announcement, Latest: known.announcement}
+	if known.firsthand || !learned.Limit.Announced || known.announcement.Limit.Announced && learned.At <= known.limitAt {
+		return change
+	}
+	known.announcement.Limit, known.limitAt, known.updatedAt = learned.Limit, learned.At, now
+	change.Latest = known.announcement
+	return change
+}
+
+// entry returns the entry of the process and creates it if needed.
+func (t *Table) entry(process backend.Process) *entry {
+	known := t.entries[process]
+	if known == nil {
+		known = &entry{}
+		t.entries[process] = known
+	}
+	return known
+}
+
 // evict removes the entries that are older than retention, at most once per retention.
 func (t *Table) evict(now id.Instant) {
 	if now.Before(t.evictAt) {
@@ -123,6 +141,16 @@
 	}
 }
 
+// Limit returns the latest limit of the process and when it was announced.
+func (t *Table) Limit(process backend.Process) LearnedLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.entries[process]; known != nil {
+		return LearnedLimit{Limit: known.announcement.Limit, At: known.limitAt}
+	}
+	return LearnedLimit{}
+}
+
 // Get returns the latest announcement of the process.
 func (t *Table) Get(process backend.Process) Announcement {
 	t.mu.Lock()
--- a/core/announcement/announcement_test.go
+++ b/core/announcement/announcement_test.go
@@ -41,6 +41,23 @@
 	is.True(!table.Get(backend.Process{ID: process.ID, Born: 2}).Leaving)
 }
 
+// Guards against an old limit of another daemon replacing a newer one or what the
+// backend server itself has announced to this daemon since.
+func TestAdoptedLimit(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	learned := func(rate RequestRate, at id.Instant) LearnedLimit {
+		return LearnedLimit{Limit: Limit{Announced: true, Rate: rate}, At: at}
+	}
+	is.True(!table.Adopt(process, LearnedLimit{At: start}, start).LimitChanged())
+	is.True(table.Adopt(process, learned(7, start), start).LimitChanged())
+	is.True(!table.Adopt(process, learned(9, start-1), start).LimitChanged())
+	is.Equal(table.Limit(process), learned(7, start))
+	is.True(table.Adopt(process, learned(8, start+1), start).LimitChanged())
+	is.True(table.Record(process, Announcement{}, start+2, start+3).LimitChanged())
+	is.True(!table.Adopt(process, learned(9, start+4), start+5).LimitChanged())
+}
+
 // Guards against a table that grows with every backend server that ever announced
 // something, and against one that forgets a process while it still responds.
 func TestEviction(t *testing.T) {
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -19,11 +19,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/placement"
@@ -46,12 +48,16 @@
 	headerOutcome     = headerPrefix + "Outcome"
 	headerReason      = headerPrefix + "Reason"
 	headerLoad        = headerPrefix + "Load"
+	headerLimit       = headerPrefix + "Limit"
 )
 
 // ExchangeHeader carries the number of an exchange between two daemons. It tells a
 // response from a late duplicate of an earlier one.
 const ExchangeHeader = headerPrefix + "Exchange"
 
+// maxLimitAge bounds the age of a limit in a call. Daemons forget limits earlier.
+const maxLimitAge = 7 * 24 * time.Hour
+
 // flagTrue is the value of a boolean header that is true; false is sent as no header.
 const flagTrue = "1"
 
@@ -71,6 +77,11 @@
 	// Large announces a large response, for which the daemon books time on its
 	// host's link.
 	Large bool
+	// Limit is the limit that the backend server has announced to the sender, and
+	// LimitAge the time since then. The daemon that receives the call may have
+	// restarted and not know it.
+	Limit    announcement.Limit
+	LimitAge time.Duration
 }
 
 // LocalBackend sends requests to the backend server on this host.
@@ -95,6 +106,34 @@
 	if c.Large {
 		header.Set(headerLarge, flagTrue)
 	}
+	if c.Limit.Announced {
+		header.Set(headerLimit, formatLimit(c.Limit.Rate, c.LimitAge))
+	}
+}
+
+// formatLimit encodes a limit and its age for headerLimit.
+func formatLimit(rate announcement.RequestRate, age time.Duration) string {
+	return strconv.FormatFloat(float64(rate), 'g', -1, 64) + " " + strconv.FormatInt(age.Microseconds(), 10)
+}
+
+// readLimit decodes the output of formatLimit; an absent header is no limit.
+func (c *Call) readLimit(header http.Header) error {
+	text := header.Get(headerLimit)
+	if text == "" {
+		return nil
+	}
+	rateText, ageText, _ := strings.Cut(text, " ")
+	rate, err := strconv.ParseFloat(rateText, 64)
+	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return errInvalidCallHeaders
+	}
+	microseconds, err := strconv.ParseInt(ageText, 10, 64)
+	if err != nil || microseconds < 0 || microseconds > maxLimitAge.Microseconds() {
+		return errInvalidCallHeaders
+	}
+	c.Limit = announcement.Limit{Announced: true, Rate: announcement.RequestRate(rate)}
+	c.LimitAge = time.Duration(microseconds) * time.Microsecond
+	return nil
 }
 
 var errInvalidCallHeaders = errors.New("relay: internal headers are missing or invalid")
@@ -113,12 +152,13 @@
 	if err != nil || header.Get(headerServer) == "" {
 		return Call{}, errInvalidCallHeaders
 	}
-	return Call{
+	call := Call{
 		Server: backend.ID(header.Get(headerServer)), Rank: rank,
 		Left: durations[0], Aim: durations[1],
 		NoWait: header.Get(headerNoWait) == flagTrue,
 		Large:  header.Get(headerLarge) == flagTrue,
-	}, nil
+	}
+	return call, call.readLimit(header)
 }
 
 // MarkCallRefused marks the response of a request that failed because a call it
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
@@ -62,7 +63,10 @@
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
 	local := &fakeBackend{response: &http1.Response{Status: 201, Header: http.Header{"X-Stamp": {"s"}, "Connection": {"close"}}, Body: []byte("done")}}
-	call := Call{Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true}
+	call := Call{
+		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true,
+		Limit: announcement.Limit{Announced: true, Rate: 27.6}, LimitAge: 1500 * time.Millisecond,
+	}
 	response, refused, reports := send(t, local, call, http.Header{"X-Id": {"1"}, "Marjoramsaddle-Rank": {"0"}})
 	is.True(refused == nil)
 	is.Equal(response.Status, 201)
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -77,6 +77,9 @@
 	// Responded is called for each response of the backend server, with the instant at
 	// which its request was sent. It may be nil.
 	Responded func(server *backend.Server, header http.Header, sentAt id.Instant)
+	// LimitLearned is called for each request whose sender knows a limit of the backend
+	// server, before the request is admitted. It may be nil.
+	LimitLearned func(server *backend.Server, learned announcement.LearnedLimit)
 }
 
 // Server forwards requests to the backend server on this host. It is safe for
@@ -237,6 +240,9 @@
 	if refused := s.checkServer(call.Server); refused != nil {
 		return nil, refused
 	}
+	if current := s.current.Load(); call.Limit.Announced && current != nil && s.options.LimitLearned != nil {
+		s.options.LimitLearned(current, announcement.LearnedLimit{Limit: call.Limit, At: now.Add(-call.LimitAge)})
+	}
 	rank := admission.RankOf(call.Rank)
 	ticket, refused := s.gate.AcquireRank(ctx, now, rank, deadline, now.Add(s.maxQueueWait(call)))
 	if refused != nil {
--- a/sidecar/announcements.go
+++ b/sidecar/announcements.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// adoptLimit applies a limit of the local backend server that another daemon knows.
+func (d *Daemon) adoptLimit(server *backend.Server, learned announcement.LearnedLimit) {
+	if change := d.announcements.Adopt(server.Process(), learned, d.now()); change.LimitChanged() {
+		d.logLimit(server.Process(), change.Latest.Limit, "another daemon")
+		d.applyLimit()
+	}
+}
+
 // applyLimit makes the latest limit of the local backend server take effect.
 func (d *Daemon) applyLimit() {
 	// Without the lock, an older limit could be set after a newer one.
--- a/sidecar/sender.go
+++ b/sidecar/sender.go
@@ -19,6 +19,8 @@
 	current := s.d.localBackend.Current()
 	if current == nil || current.ID != target.ID {
 		sentAt := s.d.now()
+		limit := s.d.announcements.Limit(target.Process())
+		call.Limit, call.LimitAge = limit.Limit, sentAt.Sub(limit.At)
 		response, refused := s.d.relay.Do(ctx, target, call, request)
 		if refused == nil {
 			s.d.recordResponse(target, response.Header, sentAt)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -181,7 +181,7 @@
 		Refused: func(requestID string, call relay.Call, refused *refusal.Error) {
 			d.requestLogger.Refused(requestID, call, refused, d.localBackend.Load())
 		},
-		Responded: d.recordResponse,
+		Responded: d.recordResponse, LimitLearned: d.adoptLimit,
 	})
 	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
 	d.peerClient = control.NewClient(d.hopPool)
