sidecar: send nothing to a backend server that announces that it is leaving

Cause: Server-Leaving passed through the daemons as an unknown header. Only the entry in the store counted, which a server may never mark, which arrives late at hosts that are cut off from the store, and whose return after a lapse made the server ready again. Evidence: TestLeavingServerGetsNoRequests: 864 requests in a second to a server that is listed as ready and announces that it is leaving; TestLeavingServerIsNotUsedAgain: 7 after its entry lapsed and returned and the daemon beside it restarted. Ruled out: the flag in load reports, which expires after two seconds of silence. Why it works: the announcement is kept for the process (ID and start time) of the server and turns its entry to draining wherever entries are used: the choice, the daemon beside the server, and its load reports. Entries that come and go do not change it, and a new process under the same ID is not affected. Test: the first version of TestLeavingServerGetsNoRequests waited until every daemon had been served by the leaving server. With the fix that cannot happen, since the daemon beside it refuses everybody after the first response; it now waits for one daemon and still requires that no request of any daemon arrives. Before: both tests failed with the mechanism off (figures above).

--- a/sidecar/announcements.go
+++ b/sidecar/announcements.go
@@ -64,6 +64,7 @@
 	if change.LeavingChanged() {
 		d.metrics.Control("server_announced", "leaving")
 		d.logAnnouncement(d.log.Info, "backend server is leaving", process)
+		d.storeState.republish()
 	}
 }
 
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -126,15 +126,35 @@
 	return table
 }
 
-// publish passes the backend servers to the components that use them.
+// republish passes the backend servers on again after one of them has announced that
+// it is leaving.
+func (s *storeState) republish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish()
+}
+
+// publish passes the backend servers to the components that use them. A server that
+// has announced that it is leaving counts as draining, whatever its entry says.
 func (s *storeState) publish() {
 	all := s.servers.All()
+	for i := range all {
+		s.applyLeaving(&all[i])
+	}
 	s.d.chooser.SetServers(all)
 	s.d.members.setServers(all)
-	s.d.localBackend.SetCurrent(s.servers.ByAddress(s.d.settings.Load().BackendAddress))
+	local, listed := s.servers.ByAddress(s.d.settings.Load().BackendAddress)
+	s.applyLeaving(&local)
+	s.d.localBackend.SetCurrent(local, listed)
 	s.d.applyLimit()
 }
 
+func (s *storeState) applyLeaving(server *backend.Server) {
+	if s.d.announcements.Get(server.Process()).Leaving {
+		server.State = backend.Draining
+	}
+}
+
 // expireServers removes lapsed entries that have not returned.
 func (s *storeState) expireServers() {
 	s.mu.Lock()
