bench/soak: check announced limits and departures, with kept connections and series

Cause: the soak's backend servers announced nothing, its clients opened a connection for each call, and faults of a daemon and of its backend server excluded each other. Ruled out: checks of the bench's own figures; the bounds are those of the users' pages.

--- a/bench/process/process.go
+++ b/bench/process/process.go
@@ -135,6 +135,9 @@
 	<-p.exited
 }
 
+// Reload sends SIGHUP.
+func (p *Process) Reload() error { return p.signal(syscall.SIGHUP) }
+
 // Pause suspends the process with SIGSTOP until Resume.
 func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
 
--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -10,7 +12,10 @@
 
 // run records one arrival of a request at a backend server.
 type run struct {
-	service, target string
+	service, server, target string
+	// limitKnownAt and leavingKnownAt are when the host at which the request began had
+	// passed on that the backend server limits its requests or is leaving, or zero.
+	limitKnownAt, leavingKnownAt time.Time
 	// drainingSince is when the backend server was registered as draining, or zero.
 	drainingSince time.Time
 	at            time.Time
@@ -27,10 +32,13 @@
 	// undisturbed is set if no unplanned fault affected a host shortly before the call or
 	// during it. stopping is set if the daemon was asked to stop during the call.
 	undisturbed, stopping bool
-	status                int
-	body                  []byte
-	signed                bool
-	err                   error
+	// keepsConnection is set if the client keeps its connection, and reused if the
+	// connection had carried other calls.
+	reused, keepsConnection bool
+	status                  int
+	body                    []byte
+	signed                  bool
+	err                     error
 	// moved holds the services that may run the call; nil unless the call's route is the
 	// one that moves between services.
 	moved map[string]bool
@@ -41,9 +49,13 @@
 	mu    sync.Mutex
 	runs  map[string][]run
 	calls []call
+	// known holds what the hosts have heard of the backend servers, and limits the limits
+	// that these have announced.
+	known  *knowledge
+	limits []limitPeriod
 }
 
-func newRecorder() *recorder { return &recorder{runs: map[string][]run{}} }
+func newRecorder() *recorder { return &recorder{runs: map[string][]run{}, known: newKnowledge()} }
 
 func (b *recorder) recordRun(id string, one run) {
 	b.mu.Lock()
@@ -61,6 +73,8 @@
 	// drainDeadline is the documented time after which no request may reach a draining
 	// backend server.
 	drainDeadline = 2 * time.Second
+	// lossSlack is the documented time after which a request that was sent counts as read.
+	lossSlack = 200 * time.Millisecond
 	// minRecoveredShare is the documented minimum share of requests that are served
 	// after the last fault.
 	minRecoveredShare = 0.25
@@ -108,11 +122,15 @@
 			report.Broken = append(report.Broken, "unasked: "+id)
 		}
 		for _, one := range runs {
+			if known[id] != nil && !one.leavingKnownAt.IsZero() && known[id].began.Sub(one.leavingKnownAt) > drainDeadline {
+				report.Broken = append(report.Broken, fmt.Sprintf("sent to a backend server %v after its host had passed on that it leaves: %s", known[id].began.Sub(one.leavingKnownAt), id))
+			}
 			if known[id] != nil && known[id].undisturbed && !one.drainingSince.IsZero() && one.at.Sub(one.drainingSince) > drainDeadline {
 				report.Broken = append(report.Broken, fmt.Sprintf("sent to a leaving backend server after %v: %s", one.at.Sub(one.drainingSince), id))
 			}
 		}
 	}
+	report.Broken = append(report.Broken, b.checkLimits()...)
 	if late == 0 || float64(lateServed) < minRecoveredShare*float64(late) {
 		report.Broken = append(report.Broken, fmt.Sprintf("not recovered: %d of %d served after the last fault", lateServed, late))
 	}
@@ -142,7 +160,7 @@
 	}
 	switch {
 	case c.err != nil:
-		if c.undisturbed && c.stopping {
+		if c.undisturbed && c.stopping && c.wasRead(executed) {
 			broken = append(broken, "cut off by a planned stop")
 		}
 	case c.status == http.StatusOK:
@@ -158,3 +176,17 @@
 	}
 	return broken
 }
+
+// wasRead reports whether the daemon must have read a call that got no response. A call
+// on a connection that had carried others may cross the daemon's close of it.
+func (c *call) wasRead(executed int) bool {
+	var dial *net.OpError
+	switch {
+	case executed > 0:
+		return true
+	case errors.As(c.err, &dial) && dial.Op == "dial":
+		return !c.keepsConnection
+	default:
+		return !c.reused || c.duration > lossSlack
+	}
+}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"marjoramsaddle/platform/platformtest"
 )
 
 // Guards against violated guarantees under overlapping faults. testdata/seeds says
@@ -54,6 +58,9 @@
 	foreign := ok
 	foreign.body = responseBody("b")
 	cut := call{id: "a", target: "/order/x", err: os.ErrClosed, undisturbed: true, stopping: true}
+	crossing := call{id: "a", target: "/lookup/x", err: io.EOF, idempotent: true, undisturbed: true, stopping: true, keepsConnection: true, reused: true}
+	unread := crossing
+	unread.duration = 2 * lossSlack
 	moved := ok
 	moved.moved = map[string]bool{stock: true}
 	ran := run{service: shop, target: "/order/x"}
@@ -72,6 +79,9 @@
 		{"foreign answer", foreign, []run{ran}, true},
 		{"answer without a run", ok, nil, true},
 		{"cut off by a stop", cut, []run{ran}, true},
+		{"request that crosses the close of its connection", crossing, nil, false},
+		{"request cut off on a kept connection", crossing, []run{{service: shop, target: "/lookup/x"}}, true},
+		{"request left unread on a kept connection", unread, nil, true},
 		{"other target", ok, []run{{service: shop, target: "/order/y"}}, true},
 		{"other service", ok, []run{{service: stock, target: "/order/x"}}, true},
 		{"old version", moved, []run{ran}, true},
@@ -81,3 +91,59 @@
 		})
 	}
 }
+
+// Guards against a soak that overlooks a server that gets more requests than it has
+// announced to take, or that counts the requests of hosts that do not know the limit.
+func TestExceededLimitsAreDetected(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	// The bound for a limit of five a second is 35 requests in four seconds.
+	period := limitPeriod{server: "i-1", rate: 5, from: start, until: start.Add(time.Minute)}
+	known := start.Add(time.Second)
+	for _, test := range []struct {
+		name     string
+		requests int
+		interval time.Duration
+		from     time.Time
+		knownAt  time.Time
+		broken   bool
+	}{
+		{"at the bound", 35, 100 * time.Millisecond, start.Add(10 * time.Second), known, false},
+		{"above the bound", 36, 100 * time.Millisecond, start.Add(10 * time.Second), known, true},
+		{"spread over more than a window", 36, 200 * time.Millisecond, start.Add(10 * time.Second), known, false},
+		{"hosts that do not know", 36, 100 * time.Millisecond, start.Add(10 * time.Second), time.Time{}, false},
+		{"hosts that have just heard", 36, 10 * time.Millisecond, start.Add(10 * time.Second), start.Add(10 * time.Second), false},
+		{"before the limit must be kept", 36, 10 * time.Millisecond, start.Add(2 * time.Second), known, false},
+		{"after the limit", 36, 100 * time.Millisecond, start.Add(2 * time.Minute), known, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newRecorder()
+			b.recordLimit(period)
+			for i := range test.requests {
+				b.recordRun(fmt.Sprint(i), run{server: "i-1", limitKnownAt: test.knownAt, at: test.from.Add(time.Duration(i) * test.interval)})
+			}
+			is.New(t).Equal(len(b.checkLimits()) > 0, test.broken)
+		})
+	}
+}
+
+// Guards against a soak that excuses a host for good, or that never excuses one.
+func TestKnowledgeOfHosts(t *testing.T) {
+	is := is.New(t)
+	k := newKnowledge()
+	now := time.Unix(1_700_000_000, 0)
+	reply := platformtest.Response{Signature: platformtest.SignaturePrefix + "i-1", Limited: true, Leaving: true}
+	k.record("host-1", &reply, now)
+	k.record("host-1", &reply, now.Add(time.Second))
+	limited, leaving := k.at("host-1", "i-1")
+	is.Equal(limited, now)
+	is.Equal(leaving, now)
+	k.forgetLimits("host-1")
+	limited, leaving = k.at("host-1", "i-1")
+	is.True(limited.IsZero() && leaving.Equal(now))
+	k.forgetAll("host-1")
+	_, leaving = k.at("host-1", "i-1")
+	is.True(leaving.IsZero())
+	k.record("host-1", &reply, now.Add(time.Second))
+	limited, _ = k.at("host-1", "i-1")
+	is.Equal(limited, now.Add(time.Second))
+}
