core/announcement: keep the limit of a backend server that restarted under its ID

Callers saw nothing; a backend server that had restarted under its former ID while the store was away got requests above its limit when its new entry arrived. Cause: announcements were kept by ID and start time. Until the entry arrives, the first responses of the new process are recorded under the start time of the old one, and the new entry dropped them. TestRestartUnderSameID fails before: {{false 0} false} != {{true 5} true}. A departure is therefore not carried over: a wrong one could not be taken back, because a server that counts as leaving gets no request whose response could do it. Why it works: the entry of the new process starts with the limit of the old one, which its first response without a limit lifts, and late responses of the old process are ignored. Before: go test ./core/announcement fails.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -2,7 +2,8 @@
 // their responses: a limit of requests, or that they are leaving.
 //
 // An announcement belongs to one process of a backend server and is kept as long as
-// that process may live, also while the platform's list lacks the server. A daemon that
+// that process may live, also while the platform's list lacks the server. A server may
+// start again under the same ID, and the list may say so late. A daemon that
 // has restarted knows no announcements. It gets the limit of the backend server on its
 // own host from the requests of the daemons that know it (see Adopt).
 //
@@ -64,22 +65,24 @@
 // Table holds the announcements of all backend servers. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
-	entries map[backend.Process]*entry
+	entries map[backend.ID]*entry
 	// evictAt is when entries are next checked against retention.
 	evictAt id.Instant
 }
 
+// entry holds the announcements of the latest process with an ID.
 type entry struct {
+	born         id.Instant
 	announcement Announcement
 	// limitAt is when the limit was last announced.
 	limitAt id.Instant
-	// firsthand is set once a response has reached this daemon.
+	// firsthand is set once a response of the process has reached this daemon.
 	firsthand bool
 	updatedAt id.Instant
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[backend.Process]*entry{}} }
+func NewTable() *Table { return &Table{entries: map[backend.ID]*entry{}} }
 
 // Record applies the announcement of a response to a request that was sent at the given
 // instant. Responses may overtake each other: one without a limit lifts the limit only
@@ -89,6 +92,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.entry(process)
+	if known.born != process.Born {
+		return Change{}
+	}
 	change := Change{Previous: known.announcement}
 	known.firsthand, known.updatedAt = true, now
 	known.announcement.Leaving = known.announcement.Leaving || announced.Leaving
@@ -110,7 +116,7 @@
 	defer t.mu.Unlock()
 	known := t.entry(process)
 	change := Change{Previous: known.announcement, Latest: known.announcement}
-	if known.firsthand || !learned.Limit.Announced || known.announcement.Limit.Announced && learned.At <= known.limitAt {
+	if known.born != process.Born || known.firsthand || !learned.Limit.Announced || known.announcement.Limit.Announced && learned.At <= known.limitAt {
 		return change
 	}
 	known.announcement.Limit, known.limitAt, known.updatedAt = learned.Limit, learned.At, now
@@ -118,25 +124,39 @@
 	return change
 }
 
-// entry returns the entry of the process and creates it if needed.
+// entry returns the entry for the ID of the process and creates it if needed. It is that
+// of a later process if this one has been replaced.
 func (t *Table) entry(process backend.Process) *entry {
-	known := t.entries[process]
-	if known == nil {
-		known = &entry{}
-		t.entries[process] = known
+	known := t.entries[process.ID]
+	switch {
+	case known == nil:
+		known = &entry{born: process.Born}
+	case known.born < process.Born:
+		known = known.succeededBy(process.Born)
+	default:
+		return known
 	}
+	t.entries[process.ID] = known
 	return known
 }
 
+// succeededBy returns the first entry of a process that reuses the ID. The platform's
+// list may name the process after its first responses, so these were recorded for its
+// predecessor. The limit is therefore kept until a response lifts it. A departure is not
+// kept, because no response could take it back.
+func (e *entry) succeededBy(born id.Instant) *entry {
+	return &entry{born: born, announcement: Announcement{Limit: e.announcement.Limit}, limitAt: e.limitAt, updatedAt: e.updatedAt}
+}
+
 // evict removes the entries that are older than retention, at most once per retention.
 func (t *Table) evict(now id.Instant) {
 	if now.Before(t.evictAt) {
 		return
 	}
 	t.evictAt = now.Add(retention)
-	for process, known := range t.entries {
+	for server, known := range t.entries {
 		if now.Sub(known.updatedAt) > retention {
-			delete(t.entries, process)
+			delete(t.entries, server)
 		}
 	}
 }
@@ -145,7 +165,7 @@
 func (t *Table) Limit(process backend.Process) LearnedLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known := t.entries[process]; known != nil {
+	if known := t.current(process); known != nil {
 		return LearnedLimit{Limit: known.announcement.Limit, At: known.limitAt}
 	}
 	return LearnedLimit{}
@@ -155,8 +175,19 @@
 func (t *Table) Get(process backend.Process) Announcement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known := t.entries[process]; known != nil {
+	if known := t.current(process); known != nil {
 		return known.announcement
 	}
 	return Announcement{}
 }
+
+// current returns the entry of the process, or nil if nothing is known of it.
+func (t *Table) current(process backend.Process) *entry {
+	if _, found := t.entries[process.ID]; !found {
+		return nil
+	}
+	if known := t.entry(process); known.born == process.Born {
+		return known
+	}
+	return nil
+}
--- a/core/announcement/announcement_test.go
+++ b/core/announcement/announcement_test.go
@@ -58,6 +58,21 @@
 	is.True(!table.Adopt(process, learned(9, start+4), start+5).LimitChanged())
 }
 
+// Guards against the limit of a restarted backend server being forgotten when the
+// platform's list names the new process only after its first responses.
+func TestRestartUnderSameID(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	restarted := backend.Process{ID: process.ID, Born: process.Born + 1}
+	table.Record(process, limited, start, start)
+	is.Equal(table.Get(restarted), limited)
+	// A late response of the former process says nothing about the new one.
+	is.Equal(table.Record(process, Announcement{}, start.Add(3*time.Second), start.Add(4*time.Second)), Change{})
+	is.Equal(table.Get(restarted), limited)
+	is.Equal(table.Get(process), Announcement{})
+	is.True(table.Record(restarted, Announcement{}, start.Add(3*time.Second), start.Add(5*time.Second)).LimitChanged())
+}
+
 // Guards against a table that grows with every backend server that ever announced
 // something, and against one that forgets a process while it still responds.
 func TestEviction(t *testing.T) {
