io/server: test which responses announce and how a limit shows in the load report

Cause: both were covered only by tests of whole daemons. Before: no test of the load report of a limited server, and none of announcements in responses of another server. After: go test -race ./io/server passes.

--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
@@ -222,3 +223,65 @@
 	}
 	is.True(times.mean < 5*normal/4)
 }
+
+// Guards against other daemons taking all slots of a limited backend server for free,
+// and against a limit that outlasts its end.
+func TestLoadReportsSlotsUsableAtLimit(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Stamp", "1") })
+	s.SetCurrent(backend.Server{ID: "i-1", Slots: 20}, true)
+	setLimit := func(rate announcement.RequestRate) {
+		s.SetLimit(announcement.Limit{Announced: true, Rate: rate})
+	}
+	setLimit(5)
+	// The service time is unknown until the first response.
+	is.Equal(s.Load().Slots, 20)
+	s.service.mean = 500 * time.Millisecond
+	is.Equal(s.Load().Slots, 3)
+	setLimit(0)
+	is.Equal(s.Load().Slots, 1)
+	setLimit(1000)
+	is.Equal(s.Load().Slots, 20)
+	setLimit(5)
+	_, refused := sendGet(s, relay.Call{Server: "i-1", Left: time.Second, Aim: time.Second, NoWait: true})
+	is.Equal(refused.Reason, refusal.ServerLimited)
+	is.Equal(refused.Outcome, refusal.NotRun)
+	s.SetLimit(announcement.Limit{})
+	is.Equal(s.Load().Slots, 20)
+	_, refused = sendGet(s, newCall())
+	is.True(refused == nil)
+}
+
+// Guards against the announcements of another server at the address, or of something
+// that is no backend server, being taken for those of the expected one.
+func TestOnlyExpectedServerAnnounces(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		status    int
+		header    string
+		announces bool
+	}{
+		{"served", 200, "Stamp", true},
+		{"own failure", 500, "Stamp", true},
+		{"shed", 503, "Not-Run", true},
+		{"another server", 421, "", false},
+		{"no backend server", 200, "", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				if test.header != "" {
+					w.Header().Set(test.header, "1")
+				}
+				w.WriteHeader(test.status)
+			})
+			responses := 0
+			s.options.Responded = func(server *backend.Server, _ http.Header, _ id.Instant) {
+				is.Equal(server.ID, backend.ID("i-1"))
+				responses++
+			}
+			_, _ = sendGet(s, newCall())
+			is.Equal(responses == 1, test.announces)
+		})
+	}
+}
