sidecar: log no error when a planned stop closes its listeners

Cause: a stop closes the hop listener before its server, so Serve returns net.ErrClosed and not http.ErrServerClosed, and every planned stop wrote an error line. Ruled out: closing the server first; that resets connections in the accept queue. Before: TestGracefulStopLogsNoError fails: listener stopped, use of closed network connection.

--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -114,7 +114,8 @@
 			}
 		}
 		for _, broken := range one.broken(b.runs[one.id]) {
-			report.Broken = append(report.Broken, fmt.Sprintf("%s: %s %s on %v after %v", broken, one.target, one.id, one.status, one.duration))
+			report.Broken = append(report.Broken, fmt.Sprintf("%s: %s %s on %v after %v, began %s, reused connection %t, runs %d, error %v", broken,
+				one.target, one.id, one.status, one.duration, one.began.Format(time.StampMicro), one.reused, len(b.runs[one.id]), one.err))
 		}
 	}
 	for id, runs := range b.runs {
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
@@ -30,6 +31,8 @@
 	store *platformtest.Store
 	ports [5]int
 	hosts []*host
+	// log is the logger of the daemons.
+	log *zap.Logger
 	// firstStart is passed to the daemons as Settings.FirstStart.
 	firstStart bool
 }
@@ -59,7 +62,7 @@
 
 func newFleet(t *testing.T, services ...string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: platformtest.NewStore()}
+	f := &fleet{t: t, store: platformtest.NewStore(), log: zap.NewNop()}
 	t.Cleanup(f.store.Close)
 	t.Cleanup(f.stopAll)
 	for i := range f.ports {
@@ -116,7 +119,7 @@
 func (f *fleet) start(hosts ...*host) {
 	f.t.Helper()
 	for _, h := range hosts {
-		d, err := New(f.settings(h), 0, zap.NewNop())
+		d, err := New(f.settings(h), 0, f.log)
 		if err != nil {
 			f.t.Fatal(err)
 		}
@@ -340,6 +343,22 @@
 	is.Equal(f.call(f.hosts[1], http.MethodGet, "/stock/1", "after").Status, http.StatusOK)
 }
 
+// Guards against errors in the log of a planned stop, which hide those that matter.
+func TestGracefulStopLogsNoError(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "counter")
+	core, logs := observer.New(zap.ErrorLevel)
+	f.log = zap.New(core)
+	f.startServing()
+	f.hosts[0].stop()
+	is.NoErr(<-f.hosts[0].done)
+	f.hosts[0].done <- nil
+	for _, entry := range logs.All() {
+		t.Errorf("%s %v", entry.Message, entry.ContextMap())
+	}
+}
+
 // Guards against a daemon that restarts and uses a backend server that was removed
 // while it was down, even when the store refuses the daemon's calls.
 func TestRestartIgnoresRemovedServers(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -352,7 +352,10 @@
 		listener = http1.Listener{Listener: listener}
 	}
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		// A stop closes the listeners of net/http servers before the servers.
+		stopped := errors.Is(err, http.ErrServerClosed) || d.draining.Load() && errors.Is(err, net.ErrClosed)
+		if !stopped {
 			d.log.Error("listener stopped", zap.String("address", address), zap.Error(err))
 		}
 	}()
