--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -35,10 +35,10 @@
 	undisturbed, stopping, duringStop bool
 	// reused is set if the call was sent on a connection that had carried others.
 	reused bool
-	status                  int
-	body                    []byte
-	signed                  bool
-	err                     error
+	status int
+	body   []byte
+	signed bool
+	err    error
 	// moved holds the services that may run the call; nil unless the call's route is the
 	// one that moves between services.
 	moved map[string]bool
