io/server: lift no limit because of a rejection that does not repeat it

Callers saw nothing; a backend server that rejects requests without its limit in the response would get requests above the limit until its next other response. Cause: each response without a limit, also one with status 503 that states that the request has not run, ended the limit, and kept a restarted daemon from adopting it. TestRejectionLiftsNoLimit fails before. Ruled out: ignoring rejections; one that names a limit or a departure counts. Why it works: a rejection is recorded without the instant at which its request was sent, and only a later request than the last announcement can lift a limit. Before: the test fails.

--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -76,7 +76,8 @@
 	announcement Announcement
 	// limitAt is when the limit was last announced.
 	limitAt id.Instant
-	// firsthand is set once a response of the process has reached this daemon.
+	// firsthand is set once the limit of the process, or that it has none, is known from
+	// its own responses.
 	firsthand bool
 	updatedAt id.Instant
 }
@@ -86,8 +87,8 @@
 
 // Record applies the announcement of a response to a request that was sent at the given
 // instant. Responses may overtake each other: one without a limit lifts the limit only
-// if its request was sent after the limit was last announced. A server that is leaving
-// does not come back.
+// if its request was sent after the limit was last announced. A sentAt of zero marks a
+// rejection, which lifts no limit. A server that is leaving does not come back.
 func (t *Table) Record(process backend.Process, announced Announcement, sentAt, now id.Instant) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -96,7 +97,8 @@
 		return Change{}
 	}
 	change := Change{Previous: known.announcement}
-	known.firsthand, known.updatedAt = true, now
+	known.firsthand = known.firsthand || sentAt > 0 || announced.Limit.Announced
+	known.updatedAt = now
 	known.announcement.Leaving = known.announcement.Leaving || announced.Leaving
 	switch {
 	case announced.Limit.Announced:
--- a/core/announcement/announcement_test.go
+++ b/core/announcement/announcement_test.go
@@ -49,6 +49,8 @@
 	learned := func(rate RequestRate, at id.Instant) LearnedLimit {
 		return LearnedLimit{Limit: Limit{Announced: true, Rate: rate}, At: at}
 	}
+	// A rejection says nothing about the limit.
+	table.Record(process, Announcement{}, 0, start)
 	is.True(!table.Adopt(process, LearnedLimit{At: start}, start).LimitChanged())
 	is.True(table.Adopt(process, learned(7, start), start).LimitChanged())
 	is.True(!table.Adopt(process, learned(9, start-1), start).LimitChanged())
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -75,7 +75,7 @@
 	// Refused is called for each request that got no response here. It may be nil.
 	Refused func(requestID string, call relay.Call, refused *refusal.Error)
 	// Responded is called for each response of the backend server, with the instant at
-	// which its request was sent. It may be nil.
+	// which its request was sent, or zero if the server has rejected it. It may be nil.
 	Responded func(server *backend.Server, header http.Header, sentAt id.Instant)
 	// LimitLearned is called for each request whose sender knows a limit of the backend
 	// server, before the request is admitted. It may be nil.
@@ -288,7 +288,15 @@
 // recordResponse passes a response to Options.Responded, unless it may come from
 // something else than the backend server.
 func (s *Server) recordResponse(server *backend.Server, response *http1.Response, refused *refusal.Error, sentAt id.Instant) {
-	if s.options.Responded == nil || server == nil || refused != nil && refused.Reason != refusal.BackendShed {
+	if s.options.Responded == nil || server == nil {
+		return
+	}
+	switch {
+	case refused == nil:
+	case refused.Reason == refusal.BackendShed:
+		// A rejection need not repeat what the server announces in other responses.
+		sentAt = 0
+	default:
 		return
 	}
 	s.options.Responded(server, response.Header, sentAt)
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -252,6 +252,36 @@
 	is.True(refused == nil)
 }
 
+// Guards against a rejection that names no limit being taken for the end of the limit,
+// as the responses to requests that have run would be.
+func TestRejectionLiftsNoLimit(t *testing.T) {
+	is := is.New(t)
+	shed := false
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		if shed {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Stamp", "1")
+	})
+	table := announcement.NewTable()
+	process := s.Current().Process()
+	limited := announcement.Announcement{Limit: announcement.Limit{Announced: true, Rate: 5}}
+	table.Record(process, limited, s.options.Now(), s.options.Now())
+	s.options.Responded = func(server *backend.Server, _ http.Header, sentAt id.Instant) {
+		table.Record(server.Process(), announcement.Announcement{}, sentAt, s.options.Now())
+	}
+	shed = true
+	_, refused := sendGet(s, newCall())
+	is.Equal(refused.Reason, refusal.BackendShed)
+	is.Equal(table.Get(process), limited)
+	shed = false
+	_, refused = sendGet(s, newCall())
+	is.True(refused == nil)
+	is.Equal(table.Get(process), announcement.Announcement{})
+}
+
 // Guards against the announcements of another server at the address, or of something
 // that is no backend server, being taken for those of the expected one.
 func TestOnlyExpectedServerAnnounces(t *testing.T) {
