core/announcement: parse rates in one place

Ruled out: nothing. After: one; go test of announcement, admission, relay, server and platform passes, with the data files unchanged. No change of behaviour. Conclusion: keep.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -2,8 +2,8 @@
 //
 // A Gate grants as many tickets as the backend server has slots, at no higher rate than
 // the server accepts (see SetLimit), queues the calls that get none, and refuses those
-// that would wait too long. Every refusal happens before a
-// byte of the request is sent, so its outcome is not_run.
+// that would wait too long. Every refusal happens before a byte of the request is sent,
+// so its outcome is not_run.
 //
 // The queue is bounded in length and in time. Calls are served by class (order, lookup,
 // internal) and in order of arrival within a class; every eighth slot goes to the call
--- a/core/announcement/announcement.go
+++ b/core/announcement/announcement.go
@@ -3,9 +3,9 @@
 //
 // An announcement belongs to one process of a backend server and is kept as long as
 // that process may live, also while the platform's list lacks the server. A server may
-// start again under the same ID, and the list may say so late. A daemon that
-// has restarted knows no announcements. It gets the limit of the backend server on its
-// own host from the requests of the daemons that know it (see Adopt).
+// start again under the same ID, and the list may say so late. A daemon that has
+// restarted knows no announcements. It gets the limit of the backend server on its own
+// host from the requests of the daemons that know it (see Adopt).
 //
 // # Usage
 //
@@ -15,6 +15,9 @@
 package announcement
 
 import (
+	"errors"
+	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,6 +33,21 @@
 // RequestRate is a number of requests per second.
 type RequestRate float64
 
+// errInvalidRate is returned for text that is not a rate.
+var errInvalidRate = errors.New("announcement: a rate must be a finite decimal number of requests per second, zero or more")
+
+// ParseRate parses a decimal number of requests per second.
+func ParseRate(text string) (RequestRate, error) {
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return 0, errInvalidRate
+	}
+	return RequestRate(rate), nil
+}
+
+// String returns the rate in the form that ParseRate accepts.
+func (r RequestRate) String() string { return strconv.FormatFloat(float64(r), 'g', -1, 64) }
+
 // Limit is the rate of requests that a backend server accepts from all daemons
 // together. The zero value is no limit.
 type Limit struct {
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -19,7 +19,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -113,7 +112,7 @@
 
 // formatLimit encodes a limit and its age for headerLimit.
 func formatLimit(rate announcement.RequestRate, age time.Duration) string {
-	return strconv.FormatFloat(float64(rate), 'g', -1, 64) + " " + strconv.FormatInt(age.Microseconds(), 10)
+	return rate.String() + " " + strconv.FormatInt(age.Microseconds(), 10)
 }
 
 // readLimit decodes the output of formatLimit; an absent header is no limit.
@@ -123,15 +122,15 @@
 		return nil
 	}
 	rateText, ageText, _ := strings.Cut(text, " ")
-	rate, err := strconv.ParseFloat(rateText, 64)
-	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+	rate, err := announcement.ParseRate(rateText)
+	if err != nil {
 		return errInvalidCallHeaders
 	}
 	microseconds, err := strconv.ParseInt(ageText, 10, 64)
 	if err != nil || microseconds < 0 || microseconds > maxLimitAge.Microseconds() {
 		return errInvalidCallHeaders
 	}
-	c.Limit = announcement.Limit{Announced: true, Rate: announcement.RequestRate(rate)}
+	c.Limit = announcement.Limit{Announced: true, Rate: rate}
 	c.LimitAge = time.Duration(microseconds) * time.Microsecond
 	return nil
 }
