sidecar: take entries for lapsed only after an outage in which they can lapse

Callers saw requests go to a server that had left: its entry was removed without having been marked as draining, and the daemons used it for up to 1.8 s longer than DRAIN allows. Cause: after 1.5 s without a response of the store, a removed entry counted as lapsed and was kept. When the store refuses the readers, the next daemon takes over after 1.7 s, so every such change of readers was taken for an outage. A faster takeover alone: the threshold would stay near it. Why it works: entries lapse after three heartbeats without renewal, and the last renewal was at most one heartbeat before an outage, so none lapses in less than two. The heartbeat comes from the settings; two seconds, the time for a change of readers, are the lower limit. Before: TestRemovedServerIsKeptOnlyAfterOutage fails for gaps of 1.9 and 2.9 s.

--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	// outageThreshold is the time without a response of the store after which entries
-	// may have lapsed because their owners could not renew them either.
-	outageThreshold = 1500 * time.Millisecond
+	// lapseHeartbeats is the length of an outage of the store, in heartbeats of backend
+	// servers, below which no entry can lapse: entries lapse after three heartbeats
+	// without renewal, and the last renewal was at most one before the outage.
+	lapseHeartbeats = 2
+	// readerTakeover is the time within which other daemons take over when the store
+	// refuses its readers. The copy gets as old without an outage of the store.
+	readerTakeover = 2 * time.Second
 	// lapseWindow is how long after the store returns a deleted entry counts as
 	// lapsed.
 	lapseWindow = 2 * time.Second
@@ -172,6 +176,12 @@
 	s.recordCurrentAt(now)
 }
 
+// outageThreshold returns the time without a response of the store after which entries
+// may have lapsed because their owners could not renew them either.
+func (s *storeState) outageThreshold() time.Duration {
+	return max(readerTakeover, lapseHeartbeats*s.d.settings.Load().Heartbeat)
+}
+
 // recordCurrentAt records that the copy of the store was current at the given
 // instant.
 func (s *storeState) recordCurrentAt(at id.Instant) {
@@ -182,7 +192,7 @@
 		return
 	}
 	s.d.currentAt.Store(int64(at))
-	if previous == 0 || at.Sub(previous) < outageThreshold {
+	if previous == 0 || at.Sub(previous) < s.outageThreshold() {
 		return
 	}
 	s.lapseWindowEnd = s.d.now().Add(lapseWindow)
--- a/sidecar/state_test.go
+++ b/sidecar/state_test.go
@@ -16,16 +16,56 @@
 	"marjoramsaddle/platform/platformtest"
 )
 
+// newIdleDaemon returns a daemon that is not started.
+func newIdleDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	d, err := New(platform.Settings{
+		Host: "h", Domain: "reduit", IP: "127.0.0.1", Service: "counter", HopAddress: "127.0.0.1:1", ControlAddress: "127.0.0.1:2",
+		BackendAddress: "127.0.0.1:3", StopGrace: time.Second, Heartbeat: 1500 * time.Millisecond,
+	}, 0, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against requests to a backend server whose entry was removed while the store
+// refused the readers: until another daemon has taken over reading, the copy gets as old
+// as in a short outage of the store, but no entry can have lapsed. After an outage in
+// which entries may lapse, the server must be kept.
+func TestRemovedServerIsKeptOnlyAfterOutage(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		away time.Duration
+		kept bool
+	}{
+		{"readers were replaced", 1900 * time.Millisecond, false},
+		{"too short for a lapse", 2900 * time.Millisecond, false},
+		{"outage", 3100 * time.Millisecond, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newIdleDaemon(t)
+			listed := platformtest.Backend{Name: "i-1", Service: "counter", Address: "127.0.0.2:3"}
+			data, err := json.Marshal(listed.Entry("reduit", "ready", 4))
+			is.NoErr(err)
+			key := platformtest.ServerPrefix + listed.Name
+			d.storeState.apply([]mirror.Item{{Key: key, Revision: 1, Value: data}})
+			lastCurrent := d.now()
+			d.storeState.recordCurrentAt(lastCurrent)
+			d.storeState.recordCurrentAt(lastCurrent.Add(test.away))
+			d.storeState.apply([]mirror.Item{{Key: key, Revision: 2, Deleted: true}})
+			is.Equal(len(d.storeState.servers.All()) == 1, test.kept)
+		})
+	}
+}
+
 // Guards against a daemon that reports itself ready and accepts requests with a
 // configuration but without the backend servers of the same listing: on a busy host
 // it responded with 503.
 func TestServersAreAppliedBeforeConfiguration(t *testing.T) {
 	is := is.New(t)
-	d, err := New(platform.Settings{
-		Host: "h", Domain: "reduit", IP: "127.0.0.1", Service: "counter", HopAddress: "127.0.0.1:1", ControlAddress: "127.0.0.1:2",
-		BackendAddress: "127.0.0.1:3", StopGrace: time.Second,
-	}, 0, zap.NewNop())
-	is.NoErr(err)
+	d := newIdleDaemon(t)
 	encode := func(value any) []byte {
 		data, err := json.Marshal(value)
 		is.NoErr(err)
