review: a long upload that is answered early ends the daemon

Cause: dispatch (io/http1/server.go) drains a long body from the same io.MultiReader that the sending goroutine of exchange (io/http1/pool.go) still reads when a target has answered before the body was in. The last piece makes one of them index an empty list; the panic is in a goroutine that nothing contains.

--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -8,6 +8,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -65,6 +66,8 @@
 
 	mu     sync.Mutex
 	record *os.File
+	// ran holds the requests that a target has begun to work on.
+	ran map[string]bool
 }
 
 func main() {
@@ -114,6 +117,57 @@
 	fmt.Fprintf(r.record, "%8.3f "+format+"\n", append([]any{time.Since(r.began).Seconds()}, args...)...)
 }
 
+// ctx is the context of the clients, which end by themselves.
+func (r *rig) ctx() context.Context { return context.Background() }
+
+// markRun records that a target has begun to work on a request.
+func (r *rig) markRun(id, target string) {
+	r.note("run %s at %s", id, target)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ran == nil {
+		r.ran = map[string]bool{}
+	}
+	r.ran[id] = true
+}
+
+// hasRun reports whether a target has begun to work on a request.
+func (r *rig) hasRun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ran[id]
+}
+
+// running reports whether the daemon of a host runs.
+func (h *host) running() bool {
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// quoteCrash copies the first lines of a crash from the log of a daemon to the record.
+func (r *rig) quoteCrash(h *host) {
+	data, err := os.ReadFile(h.log.Name())
+	if err != nil {
+		return
+	}
+	_, crash, found := strings.Cut(string(data), "panic: ")
+	if !found {
+		return
+	}
+	for i, line := range strings.Split(crash, "\n") {
+		if i > 24 {
+			return
+		}
+		if !strings.HasPrefix(line, "\t") {
+			r.note("log of %s: %s", h.name, line)
+		}
+	}
+}
+
 // addHosts prepares a host in a zone of its own for each service. The addresses are
 // drawn at random, so that runs do not meet each other.
 func (r *rig) addHosts(options daemonOptions, services ...string) error {
