--- a/review/_rig/early.go
+++ b/review/_rig/early.go
@@ -21,14 +21,16 @@
 	// uploadBytes is the length of a long body, and lastBytes that of its last piece.
 	uploadBytes = 400_000
 	lastBytes   = 1000
+	// earlyInterval is how many answers of the target there are for an early one.
+	earlyInterval = 50
 	// answerAfter is how much of a long body the target reads before it answers early.
 	answerAfter = 380_000
 )
 
-// early: a target answers long requests before it has read their bodies, keeps the
-// connection and reads on. Beside them, clients on kept connections wait for answers.
+// early: a target answers one long request in fifty before it has read its body, keeps
+// the connection and reads on. Other clients on kept connections wait for answers.
 func early(r *rig) (int, error) {
-	const clients, uploads = 8, 5
+	const clients, uploads = 8, 2 * earlyInterval
 	if err := r.addHosts(daemonOptions{graceS: 6, linkMbps: 1000, memoryMB: 284}, "files", "shop", "shop"); err != nil {
 		return 0, err
 	}
@@ -41,18 +43,11 @@
 			}
 			defer listener.Close()
 		} else {
-			backend, err := platformtest.NewBackend(name, h.service, h.at(r.backend))
+			backend, err := r.shopTarget(h, name, 400*time.Millisecond)
 			if err != nil {
 				return 0, err
 			}
 			defer backend.Close()
-			backend.SetHandler(func(w http.ResponseWriter, request *http.Request) {
-				id := platformtest.RequestID(request.Header)
-				r.markRun(id, name)
-				time.Sleep(400 * time.Millisecond)
-				platformtest.Sign(w.Header(), name)
-				_, _ = w.Write(body(id, 1500))
-			})
 		}
 		r.list(h, name, time.Now(), 18)
 	}
@@ -79,7 +74,6 @@
 		if err := r.upload(entry, id); err != nil {
 			r.note("upload %s: %v", id, err)
 		}
-		time.Sleep(500 * time.Millisecond)
 	}
 	close(stop)
 	running.Wait()
@@ -93,6 +87,22 @@
 	return held, nil
 }
 
+// shopTarget starts a sound target whose requests take the given time.
+func (r *rig) shopTarget(h *host, name string, work time.Duration) (*platformtest.Backend, error) {
+	backend, err := platformtest.NewBackend(name, h.service, h.at(r.backend))
+	if err != nil {
+		return nil, err
+	}
+	backend.SetHandler(func(w http.ResponseWriter, request *http.Request) {
+		id := platformtest.RequestID(request.Header)
+		r.markRun(id, name)
+		time.Sleep(work)
+		platformtest.Sign(w.Header(), name)
+		_, _ = w.Write(body(id, 1500))
+	})
+	return backend, nil
+}
+
 // lookups sends lookups one after the other on a kept connection, and counts those that
 // ended with the connection.
 func (r *rig) lookups(h *host, stop <-chan struct{}, number, answered, lost *atomic.Int64) {
@@ -119,8 +129,8 @@
 	}
 }
 
-// upload sends a long request, whose last piece follows when the answer is there. With
-// TROUBLE=0 the target answers when it has read all.
+// upload sends a long request, whose last piece follows after a pause, and reads its
+// answer.
 func (r *rig) upload(h *host, id string) error {
 	conn, err := net.Dial("tcp", h.at(r.caller))
 	if err != nil {
@@ -138,50 +148,47 @@
 		return err
 	}
 	r.note("sent upload %s, %d of %d bytes", id, uploadBytes-lastBytes, uploadBytes)
-	if !r.trouble {
-		time.Sleep(200 * time.Millisecond)
-		if _, err := conn.Write(data[uploadBytes-lastBytes:]); err != nil {
-			return err
-		}
-	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		time.Sleep(100 * time.Millisecond)
+		_, err := conn.Write(data[uploadBytes-lastBytes:])
+		r.note("sent the last %d bytes of upload %s: %v", lastBytes, id, err)
+	}()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return err
 	}
 	got, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	r.note("upload %s: answered %d with %d bytes", id, response.StatusCode, len(got))
-	if r.trouble {
-		time.Sleep(100 * time.Millisecond)
-		_, err = conn.Write(data[uploadBytes-lastBytes:])
-		r.note("upload %s: sent the last %d bytes: %v", id, lastBytes, err)
-	}
-	time.Sleep(200 * time.Millisecond)
-	return nil
+	r.note("upload %s: answered %d with %d bytes: %v", id, response.StatusCode, len(got), err)
+	<-sent
+	time.Sleep(20 * time.Millisecond)
+	return err
 }
 
-// uploadTarget starts a target that answers a request when it has read a part of its
-// body and then reads on, or with TROUBLE=0 when it has read all.
+// uploadTarget starts a target that answers one request in earlyInterval when it has
+// read a part of its body, and then reads on. The others, and with TROUBLE=0 all, are
+// answered when their body has been read.
 func (r *rig) uploadTarget(name, address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	var answers atomic.Int64
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go r.serveUploads(name, conn)
+			go r.serveUploads(name, conn, &answers)
 		}
 	}()
 	return listener, nil
 }
 
-func (r *rig) serveUploads(name string, conn net.Conn) {
+// serveUploads answers the requests on a connection.
+func (r *rig) serveUploads(name string, conn net.Conn, answers *atomic.Int64) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -191,7 +198,7 @@
 		}
 		id := platformtest.RequestID(request.Header)
 		before := int64(answerAfter)
-		if !r.trouble {
+		if !r.trouble || answers.Add(1)%earlyInterval != 0 {
 			before = uploadBytes
 		}
 		n, err := io.CopyN(io.Discard, request.Body, before)
