review: keep the platform's names in the rig's templates

Change: the settings and the heads of messages are templates in review/_rig/wire; the entry of a target comes from platform/platformtest. The scripts play the same.

--- a/review/_rig/early.go
+++ b/review/_rig/early.go
@@ -138,8 +138,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
-	head := "POST /upload/x HTTP/1.1\r\nHost: shop.example\r\nX-Marjoramsaddle-Request-Id: " + id +
-		"\r\nX-Marjoramsaddle-Deadline-Ms: 5000\r\nContent-Length: " + strconv.Itoa(uploadBytes) + "\r\n\r\n"
+	head := requestHead(http.MethodPost, "/upload/x", id, 5*time.Second, "Content-Length: "+strconv.Itoa(uploadBytes))
 	if _, err := io.WriteString(conn, head); err != nil {
 		return err
 	}
@@ -208,8 +207,7 @@
 		}
 		r.note("run %s at %s, answers after %d bytes", id, name, n)
 		answer := body(id, 300)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Marjoramsaddle-Request-Id: %s\r\nX-Marjoramsaddle-Response-Signature: %s%s\r\nContent-Length: %d\r\n\r\n%s",
-			id, platformtest.SignaturePrefix, name, len(answer), answer)
+		_, _ = io.WriteString(conn, answerHead(id, name, "Content-Length: "+strconv.Itoa(len(answer)))+string(answer))
 		n, err = io.Copy(io.Discard, request.Body)
 		r.note("target %s: read %d more bytes of %s: %v", name, n, id, err)
 		if err != nil {
--- a/review/_rig/pipeline.go
+++ b/review/_rig/pipeline.go
@@ -78,15 +78,14 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	reader := bufio.NewReader(conn)
-	fmt.Fprintf(conn, "GET /pull/x HTTP/1.1\r\nHost: shop.example\r\nX-Marjoramsaddle-Request-Id: %s\r\nX-Marjoramsaddle-Deadline-Ms: 8000\r\n\r\n", pullID)
+	fmt.Fprint(conn, requestHead(http.MethodGet, "/pull/x", pullID, 8*time.Second))
 	r.note("sent download %s", pullID)
 	head, err := readHead(reader)
 	if err != nil {
 		return false, fmt.Errorf("head of the download: %w", err)
 	}
 	r.note("download %s: %q", pullID, head[:15])
-	lookup := "POST /look/x HTTP/1.1\r\nHost: shop.example\r\nX-Marjoramsaddle-Request-Id: " + lookID +
-		"\r\nX-Marjoramsaddle-Deadline-Ms: 8000\r\nExpect: 100-continue\r\nContent-Length: 1000\r\n\r\n"
+	lookup := requestHead(http.MethodPost, "/look/x", lookID, 8*time.Second, "Expect: 100-continue", "Content-Length: 1000")
 	sent := make(chan struct{})
 	sendLookup := func() {
 		defer close(sent)
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -195,11 +194,10 @@
 
 // list registers the backend server of a host in the store.
 func (r *rig) list(h *host, id string, born time.Time, slots int) {
-	r.store.Put(platformtest.ServerPrefix+id, map[string]any{
-		"address": h.at(r.backend), "born": born.UnixMilli(),
-		"info":   map[string]any{"service": h.service, "version": "v1", "zone": h.zone, "slots": slots},
-		"status": map[string]any{"state": "ready", "seq": 1, "cold_remaining_s": 0},
-	})
+	backend := platformtest.Backend{Service: h.service, Address: h.at(r.backend)}
+	entry := backend.Entry(h.zone, "ready", slots)
+	entry["born"] = born.UnixMilli()
+	r.store.Put(platformtest.ServerPrefix+id, entry)
 	r.note("listed %s at %s, born %d", id, h.at(r.backend), born.UnixMilli())
 }
 
@@ -220,29 +218,21 @@
 
 // start starts the daemon of a host as the platform does.
 func (r *rig) start(h *host) error {
-	settings := map[string]any{
-		"node_id": h.name, "role": "mesh", "machine_class": "sidecar", "serves": []string{"sidecar", "control"},
-		"ip": h.ip, "zone": h.zone, "region": "region", "seeds": []string{}, "bootstrap": false,
-		"listen_addrs": map[string]any{
-			"outbound": h.at(r.caller), "inbound": h.at(r.hop), "control": h.at(r.control), "readiness": h.at(r.readiness),
-		},
-		"limits":      map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": r.options.memoryMB, "max_fds": 4100, "link_mbps": r.options.linkMbps},
-		"heartbeat_s": 1.5,
-		"bounds":      map[string]any{"grace_s": r.options.graceS, "drain_s": 2, "config_apply_s": 2, "retry_budget_ratio": 0.2, "budget_slack": 64},
-		"app_addr":    h.at(r.backend), "service": h.service,
-		"platform": map[string]any{"address": r.store.Address(), "form": "read", "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20},
-	}
-	data, err := json.Marshal(settings)
-	if err != nil {
-		return err
-	}
+	settings := expand("settings.json", map[string]string{
+		"host": h.name, "ip": h.ip, "zone": h.zone, "service": h.service,
+		"caller": h.at(r.caller), "hop": h.at(r.hop), "control": h.at(r.control), "readiness": h.at(r.readiness),
+		"backend": h.at(r.backend), "store": r.store.Address(),
+		"grace": fmt.Sprint(r.options.graceS), "memory": fmt.Sprint(r.options.memoryMB), "link": fmt.Sprint(r.options.linkMbps),
+	})
 	h.settings = filepath.Join(r.dir, h.name+".json")
-	if err := os.WriteFile(h.settings, data, 0o600); err != nil {
+	if err := os.WriteFile(h.settings, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	if h.log, err = os.OpenFile(filepath.Join(r.dir, h.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600); err != nil {
+	log, err := os.OpenFile(filepath.Join(r.dir, h.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
 		return err
 	}
+	h.log = log
 	h.daemon = exec.Command(r.program, "run")
 	h.daemon.Env = []string{"MARJORAMSADDLE_SETTINGS=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + r.dir}
 	h.daemon.Stdout, h.daemon.Stderr = h.log, h.log
--- a/review/_rig/slow.go
+++ b/review/_rig/slow.go
@@ -116,7 +116,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(clientDeadline))
-	fmt.Fprintf(conn, "GET /pull/x HTTP/1.1\r\nHost: shop.example\r\nX-Marjoramsaddle-Request-Id: %s\r\nX-Marjoramsaddle-Deadline-Ms: %d\r\n\r\n", id, clientDeadline.Milliseconds())
+	fmt.Fprint(conn, requestHead(http.MethodGet, "/pull/x", id, clientDeadline))
 	var in io.Reader = conn
 	if slow {
 		in = &throttled{conn}
