sidecar: log how long a daemon knows that its copy is outdated

Nothing says when a daemon heard of a revision, how long a fetch took, when a reader had the change, or that a 404 was answered by a daemon that knew it was behind.

Change: "behind" in the lines on requests, "took" and "behind" in "peer lost" and "changes from peer", a line "changes from store" of the readers, a histogram of the time to catch up and a counter of peers given up. No decision depends on them.

--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -107,6 +107,9 @@
 	Sender      Sender
 	// Table returns the configuration in force, or nil before there is one.
 	Table func() *route.Table
+	// Behind returns how long the daemon has known that a newer state of the store than
+	// its own exists, or zero.
+	Behind func() time.Duration
 	// Configured is closed once Table returns a configuration.
 	Configured  <-chan struct{}
 	RetryBudget RetryBudget
@@ -148,6 +151,9 @@
 	Left time.Duration
 	// Internal reports whether the local backend server made the request.
 	Internal bool
+	// Behind is how long the daemon had known, at the start of the request, that a newer
+	// state of the store than its own exists.
+	Behind time.Duration
 	// Expected is the expected time until a response, from which Retry-After is
 	// calculated.
 	Expected time.Duration
@@ -174,6 +180,7 @@
 // It implements http1.Handler.
 func (h *Handler) Serve(ctx context.Context, r *http.Request) *http1.Response {
 	j := &job{arrived: h.options.Now()}
+	j.record.Behind = h.options.Behind()
 	j.record.RequestID = h.options.HeaderCodec.RequestID(r.Header)
 	j.parent = h.options.ParentOf(j.record.RequestID)
 	j.record.Internal = j.parent != nil
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -41,6 +41,8 @@
 	// configured is closed when the table is set. If nil, it is never closed.
 	configured chan struct{}
 	link       *link.Link
+	// behind is returned by Options.Behind.
+	behind time.Duration
 }
 
 func (e *environment) RequestID(header http.Header) string { return header.Get("Id") }
@@ -122,6 +124,7 @@
 			return e.table
 		},
 		Configured:  e.configured,
+		Behind:      func() time.Duration { return e.behind },
 		RetryBudget: e.budget,
 		ParentOf:    func(string) ParentRequest { return nil },
 		Local:       func() backend.ID { return "" },
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -26,6 +26,7 @@
 	retries  metric.Int64Counter
 	control  metric.Int64Counter
 	latency  metric.Float64Histogram
+	catchUp  metric.Float64Histogram
 	// reasons and outcomes hold the attributes of each label value, so that a call
 	// builds none.
 	reasons  map[refusal.Reason]metric.MeasurementOption
@@ -79,6 +80,11 @@
 	var err error
 	m.latency, err = m.meter.Float64Histogram("marjoramsaddle_call_seconds",
 		metric.WithDescription("Time from the arrival of a call to the end of its answer."), metric.WithUnit("s"))
+	if err != nil {
+		return err
+	}
+	m.catchUp, err = m.meter.Float64Histogram("marjoramsaddle_catch_up_seconds",
+		metric.WithDescription("Time from hearing of a newer revision of the store to having it."), metric.WithUnit("s"))
 	return err
 }
 
@@ -91,6 +97,11 @@
 	m.latency.Record(context.Background(), duration.Seconds())
 }
 
+// CatchUp records how long the daemon knew of a newer revision before it had it.
+func (m *Metrics) CatchUp(duration time.Duration) {
+	m.catchUp.Record(context.Background(), duration.Seconds())
+}
+
 // Refusal counts a refused call by reason.
 func (m *Metrics) Refusal(reason refusal.Reason) {
 	m.refusals.Add(context.Background(), 1, m.reasons[reason])
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -136,6 +136,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+storeCallMargin)
 	defer cancel()
+	began := d.now()
 	changes, err := d.store.Watch(callCtx, "", d.mirror.AsOf(), wait)
 	if err != nil {
 		return err
@@ -147,6 +148,8 @@
 	d.storeState.recordStoreRead()
 	d.storeState.apply(applied)
 	if len(applied) > 0 {
+		d.log.Info("changes from store", zap.Int("changes", len(applied)), zap.Uint64("revision", uint64(changes.AsOf)),
+			zap.Duration("took", d.now().Sub(began)))
 		d.gossip.Send(sample(d.members.addresses(), readerFanout), d.readerPiggyback())
 		sleep(ctx, batchDelay)
 	}
@@ -190,6 +193,7 @@
 			waitForSignal(ctx, d.newerRevision)
 			continue
 		}
+		began := d.now()
 		err := contain.Panics(func() error { return d.fetchChanges(ctx, address) })
 		if errors.Is(err, control.ErrBusy) {
 			continue
@@ -199,7 +203,9 @@
 		}
 		if err != nil {
 			d.members.forget(address)
-			d.log.Info("peer lost", zap.String("peer", address), zap.Error(err))
+			d.metrics.Control("peer", "lost")
+			d.log.Info("peer lost", zap.String("peer", address), zap.Error(err), zap.Duration("took", d.now().Sub(began)),
+				zap.Duration("behind", d.behind()), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 		}
 	}
 }
@@ -225,10 +231,12 @@
 func (d *Daemon) fetchChanges(ctx context.Context, address string) error {
 	callCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
+	began := d.now()
 	changes, age, err := d.peerClient.Changes(callCtx, address, d.mirror.AsOf(), 0, d.mirror.LargeItems()...)
 	if err != nil {
 		return err
 	}
+	behind := d.behind()
 	applied, err := d.mirror.Apply(changes)
 	if err != nil {
 		return err
@@ -236,7 +244,8 @@
 	d.storeState.recordCurrentAt(d.now().Add(-age))
 	if len(applied) > 0 {
 		d.log.Info("changes from peer", zap.String("peer", address), zap.Int("changes", len(applied)),
-			zap.Uint64("revision", uint64(changes.AsOf)), zap.Duration("peer_store_age", age))
+			zap.Uint64("revision", uint64(changes.AsOf)), zap.Duration("peer_store_age", age), zap.Duration("took", d.now().Sub(began)), zap.Duration("behind", behind))
+		d.metrics.CatchUp(behind)
 	}
 	d.storeState.apply(applied)
 	if len(applied) > 0 {
@@ -317,6 +326,7 @@
 	if beacon.Address == d.settings.Load().ControlAddress || !d.members.recordBeacon(beacon) {
 		return
 	}
+	d.lag.recordAnnouncement(beacon.Revision, d.mirror.AsOf(), d.now())
 	if beacon.Revision <= d.mirror.AsOf() {
 		// This copy is at least as new as the sender's, so it was current when the
 		// sender's was.
--- a/sidecar/requestlog.go
+++ b/sidecar/requestlog.go
@@ -64,7 +64,7 @@
 		zap.String("server", string(record.Server)), zap.Int("attempts", record.Attempts),
 		zap.Int("arrivals", record.Arrivals), zap.Int("status", record.Status),
 		zap.Duration("took", record.Elapsed), zap.Duration("left", record.Left), zap.Duration("expected", record.Expected),
-		zap.Bool("internal", record.Internal),
+		zap.Bool("internal", record.Internal), zap.Duration("behind", record.Behind),
 	}
 	if record.Refused == nil {
 		l.log.Info("answered", fields...)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -103,6 +103,7 @@
 
 	storeState *storeState
 	members    *members
+	lag        lag
 	// announcements holds what backend servers have announced in their responses.
 	announcements       *announcement.Table
 	announcementLimiter *rate.Limiter
@@ -265,7 +266,7 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, HeaderCodec: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, ParentOf: d.parentOf, Now: d.now,
+		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, ParentOf: d.parentOf, Now: d.now,
 		Local: d.localServerID, Link: d.lane.HostLink(),
 	})
 	hops := relay.NewHandler(d.localBackend, d.lane)
