bench/soak: publish versions in series and check each host by its own time in touch

Cause: no version of the soak added or dropped a route, a fault anywhere excused all hosts, control connections were never harmed on their own, and the stand-in store was never slow, never refused single hosts and its watches heard of every change.

Change: each version adds a route and drops another. Runs for versions (--versions) publish all the time, probe these routes on every host, and inject what may delay a version: silent, stalled and delayed control connections, readers that are paused, killed, stopped or cut off just as a version is published, a store that is slow, refuses some hosts or misses changes. The report has the slowest version that a host in touch showed.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -23,7 +23,11 @@
 	// plannedOnly skips all faults but planned ones, so that the guarantees for
 	// undisturbed hosts are checked throughout the run.
 	plannedOnly bool
-	pending     sync.WaitGroup
+	faults      []fault
+	// fleetInterval is the minimum time between two faults that put all hosts out of
+	// touch.
+	fleetInterval time.Duration
+	pending       sync.WaitGroup
 
 	mu  sync.Mutex
 	log []string
@@ -44,53 +48,60 @@
 	// planned marks routine operations that must not affect requests.
 	planned bool
 	scope   scope
+	// reach says whom the fault puts out of touch. versions marks the faults that runs
+	// for versions inject as well.
+	reach    reach
+	versions bool
 	// minDuration extends the faults that show only after some time.
 	minDuration time.Duration
 	apply       func(c *faultInjector, h *host) (end func())
 }
 
+func (f *fault) disturbsFleet() bool { return f.reach == allHosts || f.reach == storeUnstable }
+
 // minLimitDuration covers the time until a limit must be kept and one window.
 const minLimitDuration = settleTime + limitWindow
 
 var faults = []fault{
-	{name: "pause", apply: pause},
-	{name: "kill", apply: kill},
-	{name: "stop", planned: true, apply: stopDaemon},
-	{name: "stops in series", planned: true, apply: stopSeries},
-	{name: "reload", planned: true, apply: reload},
+	{name: "pause", versions: true, apply: pause},
+	{name: "kill", versions: true, apply: kill},
+	{name: "stop", planned: true, versions: true, apply: stopDaemon},
+	{name: "stops in series", planned: true, versions: true, apply: stopSeries},
+	{name: "reload", planned: true, versions: true, reach: noHost, apply: reload},
 	{name: "hop delayed", apply: setHopMode(mode{delay: 30 * time.Millisecond})},
 	{name: "hop stalled inward", apply: setHopMode(mode{inward: true})},
 	{name: "hop stalled outward", apply: setHopMode(mode{outward: true})},
-	{name: "host cut off", apply: isolateHost},
+	{name: "host cut off", versions: true, apply: isolateHost},
 	{name: "hop reset", apply: func(_ *faultInjector, h *host) func() { h.hop.reset(); return noCleanup }},
 	{name: "hop silent", apply: func(_ *faultInjector, h *host) func() { h.hop.silence(); return noCleanup }},
-	{name: "store silent", apply: func(_ *faultInjector, h *host) func() { h.store.silence(); return noCleanup }},
-	{name: "store cut", apply: func(_ *faultInjector, h *host) func() {
-		h.store.set(mode{inward: true, outward: true})
-		return func() { h.store.set(mode{}) }
-	}},
-	{name: "store down", apply: failStore},
-	{name: "store forgets", apply: func(c *faultInjector, _ *host) func() { c.w.store.DropHistory(); return noCleanup }},
-	{name: "server sheds", scope: serverScope, apply: failRequests(platformtest.Shed)},
-	{name: "server loses answers", scope: serverScope, apply: failRequests(platformtest.DropConnection)},
-	{name: "server leaves", planned: true, scope: serverScope, apply: drainBackend},
-	{name: "server announces that it leaves", planned: true, scope: serverScope, apply: announceLeaving},
-	{name: "server limits its requests", planned: true, scope: serverScope, minDuration: minLimitDuration, apply: limitRequests},
-	{name: "server limits its requests", planned: true, scope: serverScope, minDuration: minLimitDuration, apply: limitRequests},
-	{name: "entry lapses", scope: serverScope, apply: lapseEntry},
-	{name: "version", planned: true, scope: serverScope, apply: func(c *faultInjector, _ *host) func() { c.w.publish(); return noCleanup }},
-	{name: "versions", planned: true, scope: serverScope, apply: publishSeries},
+	{name: "store silent", versions: true, reach: allHosts, apply: func(_ *faultInjector, h *host) func() { h.store.silence(); return noCleanup }},
+	{name: "store cut", versions: true, apply: cutStore},
+	{name: "store down", versions: true, reach: allHosts, apply: failStore},
+	{name: "store forgets", versions: true, reach: storeUnstable, apply: func(c *faultInjector, _ *host) func() { c.w.store.DropHistory(); return noCleanup }},
+	{name: "server sheds", reach: noHost, scope: serverScope, apply: failRequests(platformtest.Shed)},
+	{name: "server loses answers", reach: noHost, scope: serverScope, apply: failRequests(platformtest.DropConnection)},
+	{name: "server leaves", reach: noHost, planned: true, scope: serverScope, apply: drainBackend},
+	{name: "server announces that it leaves", reach: noHost, planned: true, scope: serverScope, apply: announceLeaving},
+	{name: "server limits its requests", reach: noHost, planned: true, scope: serverScope, minDuration: minLimitDuration, apply: limitRequests},
+	{name: "server limits its requests", reach: noHost, planned: true, scope: serverScope, minDuration: minLimitDuration, apply: limitRequests},
+	{name: "entry lapses", reach: noHost, scope: serverScope, apply: lapseEntry},
+	{name: "version", reach: noHost, planned: true, scope: serverScope, apply: func(c *faultInjector, _ *host) func() { c.w.publish(); return noCleanup }},
+	{name: "versions", reach: noHost, planned: true, scope: serverScope, apply: publishSeries},
 }
 
 func noCleanup() {}
 
 // injectFaults applies faults for the given duration and returns when all have ended.
 func (c *faultInjector) injectFaults(ctx context.Context, duration time.Duration) {
+	var fleetDisturbedAt time.Time
 	for end := c.began.Add(duration); time.Now().Before(end) && ctx.Err() == nil; {
-		one := faults[c.random.IntN(len(faults))]
-		if c.plannedOnly && !one.planned {
+		one := c.faults[c.random.IntN(len(c.faults))]
+		if c.plannedOnly && !one.planned || one.disturbsFleet() && time.Since(fleetDisturbedAt) < c.fleetInterval {
 			continue
 		}
+		if one.disturbsFleet() {
+			fleetDisturbedAt = time.Now()
+		}
 		h := c.w.hosts[c.random.IntN(len(c.w.hosts))]
 		span := 300*time.Millisecond + time.Duration(c.random.Int64N(int64(2500*time.Millisecond)))
 		step := time.Duration(c.random.Int64N(int64(maxFaultInterval)))
@@ -109,12 +120,14 @@
 	}
 	c.logf("%s on %s for %v", one.name, h.name, span.Round(time.Millisecond))
 	c.markDisturbed(h, one, span)
+	c.w.loseTouch(h, one.reach, span)
 	end := one.apply(c, h)
 	c.pending.Go(func() {
 		defer active.Unlock()
 		sleep(ctx, span)
 		end()
 		c.markDisturbed(h, one, 0)
+		c.w.loseTouch(h, one.reach, 0)
 	})
 }
 
@@ -210,6 +223,7 @@
 
 func stopDaemon(c *faultInjector, h *host) func() {
 	h.setStopping(true)
+	c.w.loseTouch(h, ownHost, stopGrace)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -42,6 +42,16 @@
 	// moved holds the services that may run the call; nil unless the call's route is the
 	// one that moves between services.
 	moved map[string]bool
+	// probe is the route of a probe of the versions, versions are those that may have
+	// handled it, and shown is the newest one that its host had shown before. inTouch is
+	// set if versions bind the host.
+	probe    addedRoute
+	versions span
+	shown    versionID
+	inTouch  bool
+	// delay is how long after the acceptance of a newer version the call was sent that an
+	// older one handled.
+	delay time.Duration
 }
 
 // recorder collects the calls of all clients and the runs at all backend servers.
@@ -63,6 +73,23 @@
 	b.runs[id] = append(b.runs[id], one)
 }
 
+// executed returns how often the request has run so far.
+func (b *recorder) executed(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return countExecuted(b.runs[id])
+}
+
+func countExecuted(arrivals []run) int {
+	executed := 0
+	for i := range arrivals {
+		if !arrivals[i].rejected {
+			executed++
+		}
+	}
+	return executed
+}
+
 func (b *recorder) recordCall(one call) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -84,6 +111,11 @@
 type Report struct {
 	Seed                      uint64
 	Calls, Served, Unanswered int
+	// Probes counts the probes of versions at hosts in touch. SlowestVersion is the
+	// longest time that a version took to bind one of them, and SlowestAt when and where.
+	Probes         int
+	SlowestVersion time.Duration
+	SlowestAt      string
 	// Broken lists the violated guarantees with the requests that violated them.
 	Broken []string
 	Faults []string
@@ -113,6 +145,12 @@
 				lateServed++
 			}
 		}
+		if one.probe != 0 && one.inTouch {
+			report.Probes++
+			if one.delay > report.SlowestVersion {
+				report.SlowestVersion, report.SlowestAt = one.delay, one.began.Format(time.StampMicro)+" "+one.id
+			}
+		}
 		for _, broken := range one.broken(b.runs[one.id]) {
 			report.Broken = append(report.Broken, fmt.Sprintf("%s: %s %s on %v after %v, began %s, reused connection %t, runs %d, error %v", broken,
 				one.target, one.id, one.status, one.duration, one.began.Format(time.StampMicro), one.reused, len(b.runs[one.id]), one.err))
@@ -159,6 +197,7 @@
 	if !c.idempotent && executed > 1 {
 		broken = append(broken, "ran twice")
 	}
+	broken = append(broken, c.brokenVersions(c.outcome(executed))...)
 	switch {
 	case c.err != nil:
 		if c.undisturbed && (c.stopping || c.duringStop && c.wasRead(executed)) {
@@ -172,7 +211,7 @@
 		if executed > 0 {
 			broken = append(broken, "promised not to have run, and ran")
 		}
-	case c.undisturbed && c.status == http.StatusNotFound:
+	case c.probe == 0 && c.undisturbed && c.status == http.StatusNotFound:
 		broken = append(broken, "refused a route that is in force")
 	}
 	return broken
--- a/bench/soak/relay.go
+++ b/bench/soak/relay.go
@@ -28,10 +28,13 @@
 type relay struct {
 	listener net.Listener
 	target   string
+	dialer   net.Dialer
 
 	mu    sync.Mutex
 	mode  mode
 	conns map[*relayedConn]struct{}
+	// usedAt is when data last went to the target.
+	usedAt time.Time
 }
 
 // relayedConn holds both connections of a relayed stream.
@@ -41,12 +44,16 @@
 	silent bool
 }
 
-func newRelay(listen, target string) (*relay, error) {
+// newRelay returns a relay that connects to the target from the IP address source.
+func newRelay(listen, target, source string) (*relay, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: listener, target: target, conns: map[*relayedConn]struct{}{}}
+	r := &relay{
+		listener: listener, target: target, conns: map[*relayedConn]struct{}{},
+		dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}},
+	}
 	go r.accept()
 	return r, nil
 }
@@ -62,7 +69,7 @@
 }
 
 func (r *relay) serve(client net.Conn) {
-	server, err := net.Dial("tcp", r.target)
+	server, err := r.dialer.Dial("tcp", r.target)
 	if err != nil {
 		_ = client.Close()
 		return
@@ -89,6 +96,9 @@
 		if !r.awaitPassage(pair, inward) {
 			return
 		}
+		if inward && n > 0 {
+			r.recordUse()
+		}
 		if _, failed := to.Write(chunk[:n]); failed != nil || err != nil {
 			return
 		}
@@ -111,6 +121,22 @@
 	}
 }
 
+func (r *relay) recordUse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usedAt = time.Now()
+}
+
+// lastUse returns when data last went to the target.
+func (r *relay) lastUse() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.usedAt
+}
+
+// usedWithin reports whether data went to the target in the given time before now.
+func (r *relay) usedWithin(before time.Duration) bool { return time.Since(r.lastUse()) <= before }
+
 func (p *relayedConn) close() {
 	for _, end := range p.ends {
 		// Both directions close the connections, so the second close fails.
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -9,7 +9,7 @@
 //   - Draining backend servers receive no requests, whether the store or their own
 //     responses say so.
 //   - Backend servers receive no more requests than the limit that they announce.
-//   - Versions take effect in time.
+//   - Versions take effect in time at each host in touch, and never go back.
 //   - Requests are served again after the last fault.
 //
 // Relays in front of each daemon and the store delay, stall (in one or both
@@ -17,7 +17,12 @@
 // The store refuses requests and loses its history. Backend servers reject requests,
 // lose responses, announce limits and drain. Versions are published singly and in
 // series, and daemons are stopped singly and one after the other. Faults overlap. Half
-// of the clients keep their connections until the daemon closes them. The seed determines everything except the timing of the machine.
+// of the clients keep their connections until the daemon closes them. The seed
+// determines everything except the timing of the machine.
+//
+// A run for versions publishes versions all the time, each of which adds a route, drops
+// another and moves a third. Its faults are those that may delay a version, and clients
+// probe the routes that have just been added or dropped.
 //
 // # Usage
 //
@@ -71,6 +76,11 @@
 	Hosts int
 	// Duration is how long faults are injected.
 	Duration time.Duration
+	// IdleRoutes is the number of routes in each configuration that no client uses.
+	IdleRoutes int
+	// Versions publishes versions all the time and only injects faults that may delay a
+	// version. Each host is probed for routes that versions have just added or dropped.
+	Versions bool
 }
 
 // Run starts a fleet, injects the faults of one seed and checks the guarantees.
@@ -91,8 +101,17 @@
 		for j := range clientsPerHost {
 			clients.Go(func() { w.client(ctx, h, j%2 == 0) })
 		}
+		if options.Versions {
+			clients.Go(func() { w.probeVersions(ctx, h, options.Seed) })
+		}
+	}
+	if options.Versions {
+		clients.Go(func() { w.publishVersions(ctx, options.Seed) })
+	}
+	c := &faultInjector{w: w, random: rand.New(rand.NewPCG(options.Seed, 1)), began: time.Now(), plannedOnly: !options.Versions && options.Seed%plannedSeedInterval == 0, faults: faultsOf(&options)} //nolint:gosec // Runs of a seed must be reproducible.
+	if options.Versions {
+		c.fleetInterval = versionFleetInterval
 	}
-	c := &faultInjector{w: w, random: rand.New(rand.NewPCG(options.Seed, 1)), began: time.Now(), plannedOnly: options.Seed%plannedSeedInterval == 0} //nolint:gosec // Runs of a seed must be reproducible.
 	c.injectFaults(ctx, options.Duration)
 	recoveredBy := time.Now().Add(recoveryTime)
 	sleep(ctx, recoveryTime+finalCallsTime)
@@ -129,7 +148,6 @@
 		}
 		if target == "/moved/" {
 			one.moved = map[string]bool{}
-			w.addAllowedServices(one.began, one.moved)
 		}
 		stoppingBefore := h.isStopping()
 		callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
@@ -147,7 +165,7 @@
 		one.undisturbed = w.undisturbed(h, one.began)
 		one.stopping, one.duringStop = !stoppingBefore && h.isStopping(), stoppingBefore
 		if one.moved != nil {
-			w.addAllowedServices(time.Now(), one.moved)
+			one.moved = w.versions.services(w.versions.inForce(one.began, applyDeadline))
 			if !one.undisturbed {
 				one.moved[shop], one.moved[stock] = true, true
 			}
@@ -160,6 +178,61 @@
 	}
 }
 
+const (
+	// probeInterval is the time between two probes of a host.
+	probeInterval = 60 * time.Millisecond
+	// minPublishInterval and maxPublishInterval limit the time between two versions.
+	minPublishInterval = 50 * time.Millisecond
+	maxPublishInterval = 900 * time.Millisecond
+	// quietInterval is a time without a version in which connections between the daemons
+	// stay idle. One in quietShare intervals lasts that long.
+	quietInterval = settleTime + time.Second
+	quietShare    = 8
+)
+
+// publishVersions publishes versions at random intervals until the context ends, in
+// series with quiet times between them.
+func (w *world) publishVersions(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // Runs of a seed must be reproducible.
+	for ctx.Err() == nil {
+		interval := minPublishInterval + time.Duration(random.Int64N(int64(maxPublishInterval-minPublishInterval)))
+		if random.IntN(quietShare) == 0 {
+			interval = quietInterval
+		}
+		sleep(ctx, interval)
+		w.publish()
+	}
+}
+
+// probeVersions sends requests on routes that versions have just added or dropped.
+func (w *world) probeVersions(ctx context.Context, h *host, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(hashID(h.name)))) //nolint:gosec // Runs of a seed must be reproducible.
+	for i := 0; ctx.Err() == nil; i++ {
+		route := w.versions.randomProbe(random)
+		one := call{
+			id: fmt.Sprintf("%s.probe-%d", h.name, i), target: route.prefix() + "x", idempotent: true, began: time.Now(), probe: route,
+		}
+		boot := h.shown.currentBoot()
+		callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+		reply, err := platformtest.Call(callContext, w.address(h.localIP, portCaller), http.MethodGet, one.target, one.id, requestTimeout, "")
+		cancel()
+		one.duration, one.err = time.Since(one.began), err
+		one.status, one.body, one.signed = reply.Status, []byte(reply.Body), reply.Signature != ""
+		one.versions = w.versions.inForce(one.began, w.applyBound(one.began))
+		one.inTouch = !h.touch.within(one.began)
+		if of := one.outcome(w.recorder.executed(one.id)); of != unclear {
+			one.delay = w.versions.delay(route.newestAllowing(of, one.versions.newest), one.began)
+		}
+		one.shown = h.shown.shownBefore(one.began, boot)
+		if err == nil && reply.Status == http.StatusOK {
+			h.shown.record(route, time.Now(), boot)
+		}
+		w.recorder.known.record(h.name, &reply, time.Now())
+		w.recorder.recordCall(one)
+		sleep(ctx, probeInterval)
+	}
+}
+
 // requestID returns the ID of a client's request, which starts with the name of the
 // client's host.
 func requestID(host string, keepsConnection bool, number int) string {
@@ -172,19 +245,6 @@
 	return host
 }
 
-// addAllowedServices adds the services to which the moving route leads in any version
-// that may be in effect at the given time.
-func (w *world) addAllowedServices(at time.Time, services map[string]bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for i := len(w.movedTo) - 1; i >= 0; i-- {
-		services[w.movedTo[i]] = true
-		if at.Sub(w.ackedAt[i]) > applyDeadline {
-			return
-		}
-	}
-}
-
 // undisturbed reports whether no unplanned fault affected any host from settleTime
 // before began until now. A fault of one host may delay a request of another.
 func (w *world) undisturbed(_ *host, began time.Time) bool {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -18,6 +18,14 @@
 	"marjoramsaddle/platform/platformtest"
 )
 
+// versionsMark is the third field of the seeds of runs for versions. Their fleets have
+// versionHosts hosts, and their configurations versionIdleRoutes unused routes.
+const (
+	versionsMark      = "versions"
+	versionHosts      = 13
+	versionIdleRoutes = 300
+)
+
 // Guards against violated guarantees under overlapping faults. testdata/seeds says
 // what each seed guards against.
 func TestSeeds(t *testing.T) {
@@ -31,16 +39,21 @@
 	is.NoErr(err)
 	for line := range strings.Lines(string(data)) {
 		fields := strings.Fields(line)
-		if len(fields) < 2 || fields[0] == "#" {
+		if len(fields) < 3 || fields[0] == "#" {
 			continue
 		}
 		seed, err := strconv.ParseUint(fields[0], 10, 64)
 		is.NoErr(err)
 		duration, err := time.ParseDuration(fields[1])
 		is.NoErr(err)
-		t.Run("seed "+fields[0], func(t *testing.T) {
+		options := Options{Program: program, Seed: seed, Duration: duration}
+		if fields[2] == versionsMark {
+			options.Versions, options.Hosts, options.IdleRoutes = true, versionHosts, versionIdleRoutes
+		}
+		t.Run(fmt.Sprintf("seed %s %s", fields[0], fields[2]), func(t *testing.T) {
 			t.Parallel()
-			report, err := Run(context.Background(), Options{Program: program, Folder: t.TempDir(), Seed: seed, Duration: duration})
+			options.Folder = t.TempDir()
+			report, err := Run(context.Background(), options)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -99,6 +112,43 @@
 	}
 }
 
+// Guards against a soak that overlooks a host that handles requests by an old version,
+// or that expects a version of hosts that are out of touch.
+func TestOldVersionsAreDetected(t *testing.T) {
+	// Version 5 adds route 5 and drops route 2. Versions 4 and 5 may be in force.
+	const added, dropped = addedRoute(5), addedRoute(2)
+	probe := func(route addedRoute, status int) call {
+		return call{id: "a", target: route.prefix() + "x", idempotent: true, status: status, signed: true, body: responseBody("a"), probe: route, versions: span{4, 6}, inTouch: true}
+	}
+	with := func(one call, change func(*call)) call {
+		change(&one)
+		return one
+	}
+	for _, test := range []struct {
+		name   string
+		call   call
+		runs   int
+		broken bool
+	}{
+		{"route added in time", probe(added, 404), 0, false},
+		{"route added before", probe(4, 404), 0, true},
+		{"route dropped in time", probe(dropped, 200), 1, false},
+		{"route dropped before", probe(1, 200), 1, true},
+		{"route dropped before, refused", probe(1, 404), 0, false},
+		{"out of touch", with(probe(4, 404), func(c *call) { c.inTouch = false }), 0, false},
+		{"not handled", with(probe(4, 503), func(c *call) {}), 0, false},
+		{"shown before", with(probe(added, 404), func(c *call) { c.shown = 5 }), 0, true},
+		{"shown before, out of touch", with(probe(added, 404), func(c *call) { c.shown, c.inTouch = 5, false }), 0, true},
+		{"dropped by a version shown before", with(probe(dropped, 200), func(c *call) { c.shown = 5 }), 1, true},
+		{"an older one shown before", with(probe(added, 404), func(c *call) { c.shown = 4 }), 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runs := []run{{service: shop, target: test.call.target}}[:test.runs]
+			is.New(t).Equal(len(test.call.broken(runs)) > 0, test.broken)
+		})
+	}
+}
+
 // Guards against a soak that overlooks a server that gets more requests than it has
 // announced to take, or that counts the requests of hosts that do not know the limit.
 func TestExceededLimitsAreDetected(t *testing.T) {
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -69,6 +69,11 @@
 	failureHandler http.HandlerFunc
 	stopping       bool
 	backendCount   int
+
+	// touch is the time in which the guarantees on versions do not bind the host, and
+	// shown what its daemon has shown of them.
+	touch disturbance
+	shown hostVersions
 }
 
 // world holds the fleet, its store and relays, and the recorder.
@@ -80,12 +85,12 @@
 	beacons  *datagramRelay
 	recorder *recorder
 
-	mu      sync.Mutex
-	version int
-	// movedTo is the service of the moving route and ackedAt the time at which the store
-	// accepted the version, both by version.
-	movedTo []string
-	ackedAt []time.Time
+	versions versionLog
+	// unstable is the time in which the store refuses some hosts or returns no old
+	// changes.
+	unstable disturbance
+	// idleRoutes is the number of routes that no client uses.
+	idleRoutes int
 }
 
 // services is the pattern in which hosts are given to the services.
@@ -94,7 +99,7 @@
 // newWorld prepares hosts in three failure domains on loopback addresses that depend
 // on the seed. It starts the store, relays and backend servers, but no daemons.
 func newWorld(options *Options) (*world, error) {
-	w := &world{program: options.Program, store: platformtest.NewStore(), recorder: newRecorder()}
+	w := &world{program: options.Program, store: platformtest.NewStore(), recorder: newRecorder(), idleRoutes: options.IdleRoutes}
 	for i := range w.ports {
 		w.ports[i] = firstPort + os.Getpid()%portBlocks*int(portCount) + i
 	}
@@ -122,13 +127,13 @@
 // prepare starts a host's relays and backend server and writes its daemon's settings.
 func (w *world) prepare(h *host) error {
 	var err error
-	if h.hop, err = newRelay(w.address(h.advertisedIP, portHop), w.address(h.localIP, portHop)); err != nil {
+	if h.hop, err = newRelay(w.address(h.advertisedIP, portHop), w.address(h.localIP, portHop), h.localIP); err != nil {
 		return err
 	}
-	if h.control, err = newRelay(w.address(h.advertisedIP, portControl), w.address(h.localIP, portControl)); err != nil {
+	if h.control, err = newRelay(w.address(h.advertisedIP, portControl), w.address(h.localIP, portControl), h.localIP); err != nil {
 		return err
 	}
-	if h.store, err = newRelay(w.address(h.advertisedIP, portStore), w.store.Address()); err != nil {
+	if h.store, err = newRelay(w.address(h.advertisedIP, portStore), w.store.Address(), h.localIP); err != nil {
 		return err
 	}
 	settings := platformtest.Settings{
@@ -227,6 +232,8 @@
 	h.mu.Lock()
 	h.daemon = daemon
 	h.mu.Unlock()
+	h.shown.restart()
+	w.loseTouch(h, ownHost, 0)
 	return log.Close()
 }
 
@@ -247,25 +254,6 @@
 	return nil
 }
 
-// publish publishes the next version, in which the moving route leads to the other of
-// the two services.
-func (w *world) publish() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.version++
-	moved := shop
-	if w.version%2 == 0 {
-		moved = stock
-	}
-	w.store.Put(platformtest.ConfigurationKey, platformtest.Configuration(fmt.Sprint("r", w.version), []string{shop, stock},
-		platformtest.Route("lookup", "/lookup/", "safe", shop, 2*time.Second, 2),
-		platformtest.Route("order", "/order/", "unsafe", shop, 2*time.Second, 1),
-		platformtest.Route("moved", "/moved/", "safe", moved, 2*time.Second, 2),
-	))
-	w.movedTo = append(w.movedTo, moved)
-	w.ackedAt = append(w.ackedAt, time.Now())
-}
-
 func (w *world) close() {
 	for _, h := range w.hosts {
 		if h.daemon != nil {
--- a/cmd/marjoramsaddle-bench/soak.go
+++ b/cmd/marjoramsaddle-bench/soak.go
@@ -18,7 +18,8 @@
 
 func soakCommand() *cobra.Command {
 	var first uint64
-	var seeds, atOnce, hosts int
+	var seeds, atOnce, hosts, idleRoutes int
+	var versions, keepLogs bool
 	var duration time.Duration
 	var logs string
 	cmd := &cobra.Command{
@@ -40,8 +41,8 @@
 					if err := os.MkdirAll(folder, 0o700); err != nil {
 						return err
 					}
-					reports[i], err = soak.Run(ctx, soak.Options{Program: program, Folder: folder, Seed: seed, Hosts: hosts, Duration: duration})
-					if err == nil && len(reports[i].Broken) == 0 {
+					reports[i], err = soak.Run(ctx, soak.Options{Program: program, Folder: folder, Seed: seed, Hosts: hosts, Duration: duration, IdleRoutes: idleRoutes, Versions: versions})
+					if err == nil && len(reports[i].Broken) == 0 && !keepLogs {
 						return os.RemoveAll(folder)
 					}
 					return err
@@ -64,7 +65,10 @@
 	cmd.Flags().Uint64Var(&first, "first", 1, "first seed")
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
 	cmd.Flags().IntVar(&atOnce, "at-once", 3, "seeds played at the same time")
+	cmd.Flags().BoolVar(&versions, "versions", false, "publish versions all the time and inject only what may delay them")
+	cmd.Flags().IntVar(&idleRoutes, "idle-routes", 0, "routes in each configuration that no client uses")
 	cmd.Flags().IntVar(&hosts, "hosts", 6, "hosts of each seed, 6 to 200")
+	cmd.Flags().BoolVar(&keepLogs, "keep-logs", false, "keep the logs of seeds that pass as well")
 	cmd.Flags().DurationVar(&duration, "duration", 10*time.Second, "time with faults for each seed")
 	cmd.Flags().StringVar(&logs, "logs", filepath.Join(os.TempDir(), "marjoramsaddle-soak"), "folder for settings and logs, kept for seeds that fail")
 	return cmd
