--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -18,6 +18,17 @@
 	"marjoramsaddle/platform/platformtest"
 )
 
+// buildDaemon builds the daemon's program and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "sidecar")
+	built, err := exec.Command("go", "build", "-o", program, "marjoramsaddle/cmd/marjoramsaddle-sidecar").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, built)
+	}
+	return program
+}
+
 // versionsMark is the third field of the seeds of runs for versions. Their fleets have
 // versionHosts hosts, and their configurations versionIdleRoutes unused routes.
 const (
@@ -30,11 +41,7 @@
 // what each seed guards against.
 func TestSeeds(t *testing.T) {
 	is := is.New(t)
-	program := filepath.Join(t.TempDir(), "sidecar")
-	built, err := exec.Command("go", "build", "-o", program, "marjoramsaddle/cmd/marjoramsaddle-sidecar").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build the daemon: %v\n%s", err, built)
-	}
+	program := buildDaemon(t)
 	data, err := os.ReadFile("testdata/seeds")
 	is.NoErr(err)
 	for line := range strings.Lines(string(data)) {
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -83,12 +83,18 @@
 
 func (f *fleet) address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, f.ports[port]) }
 
-func (f *fleet) addHost(name, service string) {
-	f.t.Helper()
+// allocateIP returns a loopback address that no other host uses.
+func allocateIP() string {
 	hostAllocator.Lock()
+	defer hostAllocator.Unlock()
 	ip := fmt.Sprintf("127.0.0.%d", hostAllocator.next)
 	hostAllocator.next++
-	hostAllocator.Unlock()
+	return ip
+}
+
+func (f *fleet) addHost(name, service string) {
+	f.t.Helper()
+	ip := allocateIP()
 	server, err := platformtest.NewBackend(name, service, f.address(ip, 4))
 	if err != nil {
 		f.t.Fatal(err)
--- /dev/null
+++ b/sidecar/peers_test.go
@@ -0,0 +1,114 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/mirror"
+	"marjoramsaddle/io/control"
+	"marjoramsaddle/io/http1"
+	"marjoramsaddle/io/relay"
+	"marjoramsaddle/platform/platformtest"
+)
+
+// scriptedPeer is a daemon of which only the control address exists. It announces the
+// revision of its copy in beacons.
+type scriptedPeer struct {
+	t       *testing.T
+	address string
+	copy    *mirror.Mirror
+	gossip  *control.Gossip
+}
+
+// newScriptedPeer starts a peer that accepts connections. It serves its copy on them
+// unless it is silent.
+func (f *fleet) newScriptedPeer(silent bool) *scriptedPeer {
+	f.t.Helper()
+	address := f.address(allocateIP(), 2)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = listener.Close() })
+	beacons, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = beacons.Close() })
+	p := &scriptedPeer{t: f.t, address: address, copy: mirror.New()}
+	began, sequence := time.Now(), uint64(0)
+	now := func() id.Instant { return id.InstantOf(began).Add(time.Since(began)) }
+	p.gossip = control.NewGossip(beacons, control.GossipOptions{
+		Self: func() control.Beacon {
+			sequence++
+			return control.Beacon{Domain: "reduit", Revision: p.copy.AsOf(), Incarnation: 1, Sequence: sequence, Period: 100 * time.Millisecond}
+		},
+		OnBeacon: func(*control.Beacon) {}, OnError: func(error) {}, Now: now,
+	})
+	if !silent {
+		handler := control.NewHandler(p.copy, func() time.Duration { return 0 })
+		server := &http.Server{Handler: http1.EchoHeader(relay.ExchangeHeader, handler), ReadHeaderTimeout: time.Minute}
+		f.t.Cleanup(func() { _ = server.Close() })
+		go func() {
+			// Serve returns when the server is closed.
+			_ = server.Serve(listener)
+		}()
+	}
+	return p
+}
+
+// hold sets the peer's copy to a configuration at the given revision.
+func (p *scriptedPeer) hold(revision mirror.Revision, version string, routes ...map[string]any) {
+	p.t.Helper()
+	value, err := json.Marshal(platformtest.Configuration(version, []string{"counter"}, routes...))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.copy.Replace([]mirror.Item{{Key: platformtest.ConfigurationKey, Value: value, Revision: revision}}, revision)
+}
+
+// announce sends a beacon to the host's daemon.
+func (p *scriptedPeer) announce(f *fleet, h *host) {
+	p.gossip.Send([]string{f.address(h.ip, 2)}, &control.Piggyback{Period: 100 * time.Millisecond})
+}
+
+// Guards against versions that come late because a daemon asks its peers one after the
+// other, and waits for each that accepts connections and does not respond: a paused
+// process, or a connection that went silent.
+func TestSilentPeersDoNotDelayVersions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "counter")
+	h := f.hosts[0]
+	h.store = "127.0.0.1:1"
+	f.start(h)
+	added := platformtest.Route("added", "/added/", "safe", "counter", time.Second, 1)
+	healthy := f.newScriptedPeer(false)
+	healthy.hold(10, "r1", platformtest.Route("kept", "/kept/", "safe", "counter", time.Second, 1))
+	f.eventually(func() bool {
+		healthy.announce(f, h)
+		return h.daemon.table.Load() != nil
+	})
+	for range 12 {
+		silent := f.newScriptedPeer(true)
+		silent.hold(20, "r2", added)
+		silent.announce(f, h)
+	}
+	time.Sleep(100 * time.Millisecond)
+	healthy.hold(20, "r2", added)
+	heard := time.Now()
+	for time.Since(heard) < applyDeadline && h.daemon.table.Load().Version < 2 {
+		healthy.announce(f, h)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(h.daemon.table.Load().Version, id.Version(2))
+	is.True(f.call(h, http.MethodGet, "/added/x", "r-1").Status != http.StatusNotFound)
+}
+
+// applyDeadline is the documented time within which a version takes effect.
+const applyDeadline = 2 * time.Second
