sidecar: ask another peer while one is silent

Callers saw 404 for a route that had been acknowledged more than two seconds before, or an answer by a service that it had been moved away from, at hosts that were undisturbed.

Cause: one goroutine asked one peer after the other for changes, and each that accepted the connection and did not respond (a paused process, a connection that went silent, a cut behind a relay) held it for 1.5 s. The waits were bounded, their sum was not. Idle connections that had gone silent long before failed at their next use.

Since changes now arrive from several peers at the same time, the copy and the state derived from it change in one step.

--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -139,16 +139,31 @@
 // NewClient returns a client that uses the pool's connections.
 func NewClient(pool *http1.Pool) *Client { return &Client{pool: pool} }
 
-// Changes returns the changes after the revision that the daemon at the address
-// knows, and how long ago its copy was known to be current. The held items are only
-// transferred as deltas.
-func (c *Client) Changes(ctx context.Context, address string, after mirror.Revision, wait time.Duration, held ...mirror.Item) (mirror.Changes, time.Duration, error) {
-	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	for _, item := range held {
-		query.Add(heldParam, formatHeld(item))
-	}
-	target := changesPath + "?" + query.Encode()
-	response, err := c.pool.Do(ctx, address, &http1.Request{Method: http.MethodGet, Target: target, Host: address, Header: http.Header{}})
+// Query is a call for changes.
+type Query struct {
+	// After is the revision that the caller has.
+	After mirror.Revision
+	// Wait is how long to wait for changes if there are none.
+	Wait time.Duration
+	// Held are the items that the caller has. Their new values are sent as deltas.
+	Held []mirror.Item
+	// NewConn calls on a new connection, since idle ones may have gone silent.
+	NewConn bool
+	// OnResponse is called when the response has begun. It may be nil.
+	OnResponse func()
+}
+
+// Changes returns the changes that the daemon at the address knows, and how long ago its
+// copy was known to be current.
+func (c *Client) Changes(ctx context.Context, address string, query Query) (mirror.Changes, time.Duration, error) {
+	values := url.Values{"after": {strconv.FormatUint(uint64(query.After), 10)}, "wait_ms": {strconv.FormatInt(query.Wait.Milliseconds(), 10)}}
+	for _, item := range query.Held {
+		values.Add(heldParam, formatHeld(item))
+	}
+	response, err := c.pool.Do(ctx, address, &http1.Request{
+		Method: http.MethodGet, Target: changesPath + "?" + values.Encode(), Host: address, Header: http.Header{},
+		NewConn: query.NewConn, OnResponse: query.OnResponse,
+	})
 	if err != nil {
 		return mirror.Changes{}, 0, err
 	}
@@ -166,7 +181,7 @@
 	if err != nil {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
 	}
-	changes, err := received.decodeDeltas(held)
+	changes, err := received.decodeDeltas(query.Held)
 	if err != nil {
 		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
 	}
--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -126,7 +126,7 @@
 	defer pool.CloseIdle()
 	client := NewClient(pool)
 	address := strings.TrimPrefix(server.URL, "http://")
-	changes, age, err := client.Changes(context.Background(), address, 0, 0)
+	changes, age, err := client.Changes(context.Background(), address, Query{})
 	is.NoErr(err)
 	is.True(changes.Whole)
 	is.Equal(age, 250*time.Millisecond)
@@ -135,7 +135,7 @@
 	go func() {
 		_, _ = source.Apply(mirror.Changes{After: 4, Events: []mirror.Item{{Key: "b", Revision: 5}}, AsOf: 5})
 	}()
-	changes, _, err = client.Changes(context.Background(), address, follower.AsOf(), 5*time.Second)
+	changes, _, err = client.Changes(context.Background(), address, Query{After: follower.AsOf(), Wait: 5 * time.Second})
 	is.NoErr(err)
 	_, err = follower.Apply(changes)
 	is.NoErr(err)
@@ -162,10 +162,10 @@
 	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
 	defer pool.CloseIdle()
 	address := strings.TrimPrefix(server.URL, "http://")
-	_, _, err := NewClient(pool).Changes(context.Background(), address, 0, 0)
+	_, _, err := NewClient(pool).Changes(context.Background(), address, Query{})
 	is.True(errors.Is(err, ErrBusy))
 	<-handler.transfers
-	_, _, err = NewClient(pool).Changes(context.Background(), address, 0, 0)
+	_, _, err = NewClient(pool).Changes(context.Background(), address, Query{})
 	is.NoErr(err)
 }
 
--- a/io/control/delta_test.go
+++ b/io/control/delta_test.go
@@ -43,7 +43,7 @@
 	address := strings.TrimPrefix(server.URL, "http://")
 	follower := mirror.New()
 	follow := func() {
-		changes, _, err := NewClient(pool).Changes(context.Background(), address, follower.AsOf(), 0, follower.LargeItems()...)
+		changes, _, err := NewClient(pool).Changes(context.Background(), address, Query{After: follower.AsOf(), Held: follower.LargeItems()})
 		is.NoErr(err)
 		_, err = follower.Apply(changes)
 		is.NoErr(err)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -86,6 +86,11 @@
 	// Stream is a body of Length bytes. A negative Length means unknown.
 	Stream io.Reader
 	Length int64
+	// NewConn sends the request on a new connection although idle ones exist, which may
+	// have gone silent.
+	NewConn bool
+	// OnResponse is called when the header of the response has arrived. It may be nil.
+	OnResponse func()
 }
 
 // Response is a response whose body has been read in full.
@@ -185,7 +190,7 @@
 // Do sends the request and returns the complete response. The error is always a
 // *SendError.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	conn, err := p.getConn(ctx, address)
+	conn, err := p.getConn(ctx, address, request.NewConn)
 	if err != nil {
 		return nil, &SendError{Cause: err}
 	}
@@ -228,11 +233,14 @@
 		if err != nil {
 			return nil, false, err
 		}
+		matches, identified := p.matches(request, response, conn.reused || skipped > 0)
+		if matches && request.OnResponse != nil {
+			request.OnResponse()
+		}
 		body, err := p.readBody(response)
 		if err != nil {
 			return nil, false, err
 		}
-		matches, identified := p.matches(request, response, conn.reused || skipped > 0)
 		if !matches {
 			continue
 		}
@@ -373,9 +381,10 @@
 	return out
 }
 
-// getConn returns the most recently used idle connection, or dials a new one.
-func (p *Pool) getConn(ctx context.Context, address string) (*clientConn, error) {
-	for {
+// getConn returns the most recently used idle connection, or dials a new one if there is
+// none or forceNew is set.
+func (p *Pool) getConn(ctx context.Context, address string, forceNew bool) (*clientConn, error) {
+	for !forceNew {
 		conn := p.popIdle(address)
 		if conn == nil {
 			break
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,8 +35,6 @@
 	// housekeepingInterval is how often idle connections are closed and suppressed
 	// log lines are reported.
 	housekeepingInterval = time.Second
-	// fetchInterval is the delay before each fetch from a daemon that is ahead.
-	fetchInterval = 20 * time.Millisecond
 	// nearFetchGrace is how long to wait for changes to reach this failure domain
 	// before fetching them from another one.
 	nearFetchGrace = 300 * time.Millisecond
@@ -54,9 +51,6 @@
 	// firstStartWait is how long a daemon waits for the seeds' copy when the whole
 	// system starts. Traffic starts seconds later.
 	firstStartWait = 2 * time.Second
-	// peerFetchTimeout bounds a fetch of changes from another daemon. A compressed
-	// configuration of one megabyte takes some hundred milliseconds on a slow link.
-	peerFetchTimeout = 1500 * time.Millisecond
 )
 
 // followStore keeps the copy of the store current.
@@ -141,12 +135,10 @@
 	if err != nil {
 		return err
 	}
-	applied, err := d.mirror.Apply(changes)
+	applied, err := d.applyChanges(changes, d.storeState.recordStoreRead)
 	if err != nil {
 		return err
 	}
-	d.storeState.recordStoreRead()
-	d.storeState.apply(applied)
 	if len(applied) > 0 {
 		d.log.Info("changes from store", zap.Int("changes", len(applied)), zap.Uint64("revision", uint64(changes.AsOf)),
 			zap.Duration("took", d.now().Sub(began)))
@@ -177,37 +169,8 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	d.storeState.recordStoreRead()
-	d.storeState.apply(d.mirror.Replace(items, asOf))
-	return nil
-}
-
-// followPeers fetches changes from other daemons that are ahead.
-func (d *Daemon) followPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		// Wait before each fetch: after a restart, for example, a daemon may lack a
-		// revision that it announced, and fetching at once would loop without pause.
-		sleep(ctx, fetchInterval)
-		address, found := d.members.peerAhead(d.mirror.AsOf())
-		if !found {
-			waitForSignal(ctx, d.newerRevision)
-			continue
-		}
-		began := d.now()
-		err := contain.Panics(func() error { return d.fetchChanges(ctx, address) })
-		if errors.Is(err, control.ErrBusy) {
-			continue
-		}
-		if contain.Stack(err) != "" {
-			d.logPanic("changes of "+address, err)
-		}
-		if err != nil {
-			d.members.forget(address)
-			d.metrics.Control("peer", "lost")
-			d.log.Info("peer lost", zap.String("peer", address), zap.Error(err), zap.Duration("took", d.now().Sub(began)),
-				zap.Duration("behind", d.behind()), zap.Uint64("revision", uint64(d.mirror.AsOf())))
-		}
-	}
+	_, err := d.applyChanges(mirror.Changes{Events: items, AsOf: asOf, Whole: true}, d.storeState.recordStoreRead)
+	return err
 }
 
 // waitForSignal waits for the signal or the end of the context.
@@ -226,35 +189,6 @@
 	}
 }
 
-// fetchChanges fetches and applies the changes that the daemon at the address has,
-// and notifies others of them.
-func (d *Daemon) fetchChanges(ctx context.Context, address string) error {
-	callCtx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
-	defer cancel()
-	began := d.now()
-	changes, age, err := d.peerClient.Changes(callCtx, address, d.mirror.AsOf(), 0, d.mirror.LargeItems()...)
-	if err != nil {
-		return err
-	}
-	behind := d.behind()
-	applied, err := d.mirror.Apply(changes)
-	if err != nil {
-		return err
-	}
-	d.storeState.recordCurrentAt(d.now().Add(-age))
-	if len(applied) > 0 {
-		d.log.Info("changes from peer", zap.String("peer", address), zap.Int("changes", len(applied)),
-			zap.Uint64("revision", uint64(changes.AsOf)), zap.Duration("peer_store_age", age), zap.Duration("took", d.now().Sub(began)), zap.Duration("behind", behind))
-		d.metrics.CatchUp(behind)
-	}
-	d.storeState.apply(applied)
-	if len(applied) > 0 {
-		near, _ := d.members.nearAndFar()
-		d.gossip.Send(sample(slices.Clone(near), revisionFanout), d.readerPiggyback())
-	}
-	return nil
-}
-
 // runRounds sends this daemon's state to others each round and does housekeeping.
 func (d *Daemon) runRounds(ctx context.Context) {
 	nextHousekeeping := time.Now().Add(housekeepingInterval)
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -301,6 +301,22 @@
 	return randomAddress(far)
 }
 
+// latestAhead returns the daemon, among those whose copy is newer than the given
+// revision, whose beacon arrived last, other than those excluded. It is the most likely
+// one to be alive and reachable.
+func (m *members) latestAhead(asOf mirror.Revision, excluded func(address string) bool) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest, receivedAt := "", id.Instant(0)
+	for address := range m.received {
+		beacon := m.received[address]
+		if beacon.Revision > asOf && beacon.Received > receivedAt && !excluded(address) {
+			latest, receivedAt = address, beacon.Received
+		}
+	}
+	return latest, latest != ""
+}
+
 // randomAddress returns one of the addresses at random, so that daemons do not all
 // ask the same one.
 func randomAddress(addresses []string) (string, bool) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -90,7 +90,9 @@
 	requestLogger *requestLog
 	startedAt     time.Time
 
-	mirror       *mirror.Mirror
+	mirror *mirror.Mirror
+	// applyMu makes a change of the mirror and of what is derived from it one step.
+	applyMu      sync.Mutex
 	store        *platform.Store
 	chooser      *placement.Chooser
 	localBackend *server.Server
