sidecar: take over in time when both readers are lost

Callers saw 404 for routes acknowledged more than two seconds before, at all hosts at the same time.

Cause: two daemons read the store. Others count a reader as reading until its last read is 1.3 s old, plus up to 0.5 s for the news of it, and begin by rank after that; with the round, the call and the way to the others the sum was 2.1 s, for a bound of 2 s. It hangs on the length of a watch (1 s): a read may be that old on a healthy reader.

Evidence: TestLostReadersDoNotDelayVersions, with 13 daemons as processes, readers cut from the store, killed or paused as a version is published: hosts answered 404 two seconds later in each round.

Why it works: a watch waits for 0.5 s, so a reader counts as lost 0.5 s earlier, and 0.8 s of the bound are left for the rest.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -18,14 +18,18 @@
 
 const (
 	// watchWait is how long a watch of the store waits for changes. A watch may miss
-	// changes that are made meanwhile, so it has to be short compared to the seconds
-	// within which a change must take effect.
-	watchWait = time.Second
+	// changes that are made meanwhile, and other daemons notice a lost reader by the age
+	// of its last read, so it has to be short compared to the two seconds within which a
+	// change must take effect.
+	watchWait = 500 * time.Millisecond
 	// immediateWait is the wait of a watch that must return at once.
 	immediateWait = time.Millisecond
-	// storeCallMargin is added for the round trip to the store. A call that takes
-	// longer is on a connection that no longer responds.
+	// storeCallMargin is added for the round trip to the store. A call whose response
+	// begins later is on a connection that no longer responds.
 	storeCallMargin = 600 * time.Millisecond
+	// storeTransferTime is added for the body of a response. A configuration of half a
+	// megabyte takes that long on a link of 6 Mbit/s.
+	storeTransferTime = time.Second
 	// batchDelay is the pause after a watch that returned changes, so that the next one
 	// returns several at once.
 	batchDelay = 100 * time.Millisecond
@@ -51,6 +55,9 @@
 	// firstStartWait is how long a daemon waits for the seeds' copy when the whole
 	// system starts. Traffic starts seconds later.
 	firstStartWait = 2 * time.Second
+	// storeResponseTimeout bounds the time until the response to a call of the store
+	// begins.
+	storeResponseTimeout = watchWait + storeCallMargin
 )
 
 // followStore keeps the copy of the store current.
@@ -128,7 +135,7 @@
 	if list {
 		return d.listStore(ctx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+storeCallMargin)
+	callCtx, cancel := context.WithTimeout(ctx, storeResponseTimeout+storeTransferTime)
 	defer cancel()
 	began := d.now()
 	changes, err := d.store.Watch(callCtx, "", d.mirror.AsOf(), wait)
@@ -151,7 +158,7 @@
 // listStore reads all items. Pages are not a consistent snapshot: the watch continues
 // from the revision of the first page and returns what changed between them.
 func (d *Daemon) listStore(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+storeCallMargin)
+	callCtx, cancel := context.WithTimeout(ctx, storeResponseTimeout+storeTransferTime)
 	defer cancel()
 	var items []mirror.Item
 	var asOf mirror.Revision
