ingress: do not answer 404 while a newer state of the store is known

Callers saw 404 from hosts that already knew that the store had changed.

Cause: a daemon that has heard of a newer revision answered by its own configuration. It cannot tell then that a route does not exist: the newer one may add it.

Why it works: such a request waits for the newer state, 0.3 s or a fifth of the client's timeout at most, which mostly serves it. If the state does not come it is refused as not run (503 with Retry-After, reason resyncing), which is true. A daemon that is current answers 404 at once, as before.

TestUnknownRouteWhileBehind: 404 for the second request before, passes now.

--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -43,6 +43,10 @@
 	// request itself.
 	maxConfigurationWait   = time.Second
 	configurationWaitShare = 0.2
+	// maxCurrentWait limits the wait for a newer configuration that may have the route
+	// of a request. Most daemons that are behind catch up within tens of milliseconds,
+	// and those whose peer is silent ask another one after a quarter of a second.
+	maxCurrentWait = 300 * time.Millisecond
 )
 
 // HeaderCodec reads and writes the headers that the platform defines for clients
@@ -110,6 +114,9 @@
 	// Behind returns how long the daemon has known that a newer state of the store than
 	// its own exists, or zero.
 	Behind func() time.Duration
+	// AwaitCurrent waits until Behind is zero and Table returns the configuration of
+	// that state, or the context ends.
+	AwaitCurrent func(ctx context.Context)
 	// Configured is closed once Table returns a configuration.
 	Configured  <-chan struct{}
 	RetryBudget RetryBudget
@@ -224,10 +231,9 @@
 	if table == nil {
 		return nil, refusal.New(refusal.NoConfiguration, refusal.NotRun)
 	}
-	j.record.Version = table.Version
-	j.route = table.Find(r.Host, r.URL.Path)
-	if j.route == nil {
-		return nil, refusal.New(refusal.NoRoute, refusal.NotRun)
+	table, refused := h.findRoute(ctx, r, j, table)
+	if refused != nil {
+		return nil, refused
 	}
 	h.applyRoute(r, j)
 	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
@@ -257,11 +263,7 @@
 	if table := h.options.Table(); table != nil {
 		return table
 	}
-	timeout, found := h.options.HeaderCodec.ClientTimeout(r.Header)
-	if !found {
-		timeout = defaultTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, min(maxConfigurationWait, time.Duration(configurationWaitShare*float64(timeout))))
+	ctx, cancel := context.WithTimeout(ctx, min(maxConfigurationWait, h.configurationWait(r)))
 	defer cancel()
 	select {
 	case <-h.options.Configured:
@@ -270,6 +272,43 @@
 	return h.options.Table()
 }
 
+// findRoute finds the route of the request and returns the configuration that has it. A
+// daemon that knows of a newer state of the store cannot tell that a route does not
+// exist: it waits for that state, and refuses the request as not run if it takes long.
+func (h *Handler) findRoute(ctx context.Context, r *http.Request, j *job, table *route.Table) (*route.Table, *refusal.Error) {
+	find := func() bool {
+		j.record.Version = table.Version
+		j.route = table.Find(r.Host, r.URL.Path)
+		return j.route != nil
+	}
+	if find() {
+		return table, nil
+	}
+	if h.options.Behind() > 0 {
+		waitCtx, cancel := context.WithTimeout(ctx, min(maxCurrentWait, h.configurationWait(r)))
+		defer cancel()
+		h.options.AwaitCurrent(waitCtx)
+		table = h.options.Table()
+		if find() {
+			return table, nil
+		}
+		if h.options.Behind() > 0 {
+			j.record.Expected = maxCurrentWait
+			return nil, refusal.New(refusal.Resyncing, refusal.NotRun)
+		}
+	}
+	return nil, refusal.New(refusal.NoRoute, refusal.NotRun)
+}
+
+// configurationWait returns how long a request may wait for a configuration.
+func (h *Handler) configurationWait(r *http.Request) time.Duration {
+	timeout, found := h.options.HeaderCodec.ClientTimeout(r.Header)
+	if !found {
+		timeout = defaultTimeout
+	}
+	return time.Duration(configurationWaitShare * float64(timeout))
+}
+
 // applyRoute sets the deadline and the service of the request from its route and
 // the client's timeout.
 func (h *Handler) applyRoute(r *http.Request, j *job) {
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -41,8 +41,10 @@
 	// configured is closed when the table is set. If nil, it is never closed.
 	configured chan struct{}
 	link       *link.Link
-	// behind is returned by Options.Behind.
-	behind time.Duration
+	// behind is returned by Options.Behind, and awaitCurrent is Options.AwaitCurrent
+	// unless it is nil.
+	behind       time.Duration
+	awaitCurrent func(ctx context.Context)
 }
 
 func (e *environment) RequestID(header http.Header) string { return header.Get("Id") }
@@ -124,7 +126,16 @@
 			return e.table
 		},
 		Configured:  e.configured,
-		Behind:      func() time.Duration { return e.behind },
+		Behind: func() time.Duration {
+			e.tableMu.Lock()
+			defer e.tableMu.Unlock()
+			return e.behind
+		},
+		AwaitCurrent: func(ctx context.Context) {
+			if e.awaitCurrent != nil {
+				e.awaitCurrent(ctx)
+			}
+		},
 		RetryBudget: e.budget,
 		ParentOf:    func(string) ParentRequest { return nil },
 		Local:       func() backend.ID { return "" },
@@ -268,3 +279,35 @@
 	})
 	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodGet, "/stock/", "")).Status, http.StatusOK)
 }
+
+// Guards against a 404 for a route that a newer version adds, by a daemon that knows of
+// a newer state of the store. It waits for that state, and if it does not come, says
+// that the request has not run. A daemon that is current answers 404 at once.
+func TestUnknownRouteWhileBehind(t *testing.T) {
+	is := is.New(t)
+	e, handler := newEnvironment(t, outcome{status: http.StatusOK})
+	e.awaitCurrent = func(ctx context.Context) { <-ctx.Done() }
+	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodGet, "/added/", "")).Status, http.StatusNotFound)
+	e.behind = time.Millisecond
+	start := time.Now()
+	response := handler.Serve(context.Background(), newRequest(http.MethodGet, "/added/", ""))
+	is.Equal(response.Status, http.StatusServiceUnavailable)
+	is.True(response.Header.Get("Retry-After") != "")
+	is.Equal(e.records[1].Refused.Reason, refusal.Resyncing)
+	is.True(time.Since(start) < time.Second)
+	is.Equal(len(e.calls), 0)
+
+	newer := route.Route{Name: "added", Host: "shop", Prefix: "/added/", Attempts: 1, Parts: []route.Part{{Service: "counter", Weight: 1}}}
+	table, err := route.NewTable(route.Configuration{
+		Version: 4, Services: map[id.Service]route.Service{"counter": {}}, Routes: []route.Route{newer},
+	})
+	is.NoErr(err)
+	e.awaitCurrent = func(context.Context) {
+		e.tableMu.Lock()
+		defer e.tableMu.Unlock()
+		e.table, e.behind = table, 0
+	}
+	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodGet, "/added/", "")).Status, http.StatusOK)
+	is.Equal(e.records[2].Version, id.Version(4))
+	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodGet, "/never/", "")).Status, http.StatusNotFound)
+}
--- a/sidecar/lag.go
+++ b/sidecar/lag.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -46,3 +47,22 @@
 // behind returns how long this daemon has known that its copy of the store is outdated,
 // or zero if no newer revision is known.
 func (d *Daemon) behind() time.Duration { return d.lag.age(d.mirror.AsOf(), d.now()) }
+
+// awaitCurrent waits until the copy of the store is at the newest revision that this
+// daemon knows of, and what is derived from it has followed, or the context ends.
+func (d *Daemon) awaitCurrent(ctx context.Context) {
+	for {
+		_, advanced := d.mirror.Since(d.mirror.AsOf())
+		if d.behind() == 0 {
+			// A change of the copy and of what is derived from it is one step.
+			d.applyMu.Lock()
+			defer d.applyMu.Unlock()
+			return
+		}
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -268,7 +268,7 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, HeaderCodec: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, ParentOf: d.parentOf, Now: d.now,
+		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now,
 		Local: d.localServerID, Link: d.lane.HostLink(),
 	})
 	hops := relay.NewHandler(d.localBackend, d.lane)
