io/http1: read the body of a request in one place after an early response

Cause: a body of 256 KiB and more is passed on while it arrives. When the backend server responds before the last piece, the handler returns, and the connection's goroutine reads the rest of the same io.MultiReader that the sending goroutine still waits on. The first to get the last piece removes the reader that the second then indexes. The panic was in a goroutine that nothing contained. The same holds for a handler that gives up.

TestEarlyResponseToLongBody: "index out of range [0] with length 0" before.

Why it works: streamedBody lets one goroutine read at a time, and the server takes it back before it reads the rest, after which the handler's goroutines get an error. Panics in the two goroutines that read a connection and send a body are contained as well.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -20,6 +20,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/link"
 )
 
@@ -226,7 +227,10 @@
 		written <- conn.send(httpRequest)
 	} else {
 		// The peer may respond before it has read the whole body.
-		go func() { written <- conn.send(httpRequest) }()
+		go func() {
+			// The body is read here, outside the goroutine that handles the request.
+			written <- contain.Panics(func() error { return conn.send(httpRequest) })
+		}()
 	}
 	for skipped := 0; skipped <= maxSkippedResponses; skipped++ {
 		response, err := conn.readHeader(httpRequest) //nolint:bodyclose // Closing the connection is enough.
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -267,7 +267,13 @@
 		defer close(writerDone)
 		c.writeLoop()
 	}()
-	c.readLoop()
+	err := contain.Panics(func() error {
+		c.readLoop()
+		return nil
+	})
+	if err != nil {
+		c.server.reportPanic(&http.Request{}, err)
+	}
 	close(c.pending)
 	<-writerDone
 	_ = c.conn.Close()
@@ -385,10 +391,10 @@
 		go func() { response <- c.handle(request) }()
 		return true
 	}
+	// The handler may replace the body of the request.
+	body, streamed := request.Body.(*streamedBody)
 	c.reserveResponse() <- c.handle(request)
-	// Whatever the handler left of the body precedes the next request.
-	_, err = io.Copy(io.Discard, request.Body)
-	return err == nil
+	return !streamed || body.discard() == nil
 }
 
 // handle calls the handler and turns a panic into a 502 response, so that one
@@ -403,12 +409,16 @@
 	if err == nil {
 		return response
 	}
-	if c.server.options.OnPanic != nil {
-		c.server.options.OnPanic(request, err)
-	}
+	c.server.reportPanic(request, err)
 	return &Response{Status: http.StatusBadGateway, Header: http.Header{"Connection": {"close"}}}
 }
 
+func (s *Server) reportPanic(request *http.Request, err error) {
+	if s.options.OnPanic != nil {
+		s.options.OnPanic(request, err)
+	}
+}
+
 // bufferBody reads a body shorter than maxBufferedBody into memory and reports
 // whether it did. A longer body remains a stream with the same content.
 func (c *serverConn) bufferBody(request *http.Request) (buffered bool, err error) {
@@ -426,10 +436,7 @@
 		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
 		return true, nil
 	}
-	request.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(data), body), body}
+	request.Body = newStreamedBody(data, body)
 	return false, nil
 }
 
--- a/io/http1/server_limits_test.go
+++ b/io/http1/server_limits_test.go
@@ -240,3 +240,46 @@
 	defer s.mu.Unlock()
 	return len(s.listeners)
 }
+
+// Guards against the end of the process when a handler returns before all of a long
+// body has arrived, as it does when a backend server responds early, while a goroutine
+// that sends the body on still reads it. The connection serves the next request.
+func TestEarlyResponseToLongBody(t *testing.T) {
+	is := is.New(t)
+	const length = maxBufferedBody + 10
+	reads := make(chan error, 1)
+	_, address := serveWith(t, ServerOptions{Limits: strictLimits, Handler: func(_ context.Context, r *http.Request) *Response {
+		if r.Method == http.MethodPost {
+			body := r.Body
+			begun := make(chan struct{})
+			go func() {
+				close(begun)
+				_, err := io.Copy(io.Discard, body)
+				reads <- err
+			}()
+			<-begun
+			// The goroutine has read what has arrived, and waits for the rest.
+			time.Sleep(50 * time.Millisecond)
+		}
+		return &Response{Status: http.StatusOK, Header: http.Header{}}
+	}})
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for range 3 {
+		_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length-5))
+		is.NoErr(err)
+		early, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.NoErr(early.Body.Close())
+		is.Equal(early.StatusCode, http.StatusOK)
+		_, err = io.WriteString(conn, "12345GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+		next, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.NoErr(next.Body.Close())
+		is.Equal(next.StatusCode, http.StatusOK)
+		<-reads
+	}
+}
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -125,7 +125,7 @@
 			defer e.tableMu.Unlock()
 			return e.table
 		},
-		Configured:  e.configured,
+		Configured: e.configured,
 		Behind: func() time.Duration {
 			e.tableMu.Lock()
 			defer e.tableMu.Unlock()
