io/http1: send "100 Continue" in the order of responses

Cause: the goroutine that reads a connection wrote the interim response by itself when no response was queued. A response that is being sent is no longer in the queue.

Why it works: the interim response takes its turn in the queue, so only the goroutine that sends responses writes to the connection. Clients that wait for it get it also behind earlier requests, where it was left out before.

--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -376,10 +376,9 @@
 		c.reserveResponse() <- c.handle(request)
 		return false
 	}
-	if request.Header.Get("Expect") != "" && len(c.pending) == 0 {
-		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return false
-		}
+	if request.Header.Get("Expect") != "" {
+		// Responses to earlier requests go first, so it takes its turn among them.
+		c.reserveResponse() <- &Response{Status: http.StatusContinue}
 	}
 	buffered, err := c.bufferBody(request)
 	if err != nil {
@@ -460,6 +459,9 @@
 
 // send writes the response. The time allowed for it grows with the body.
 func (c *serverConn) send(response *Response) error {
+	if response.Status == http.StatusContinue {
+		return c.sendContinue()
+	}
 	header := response.Header
 	transferTime := time.Duration(float64(len(response.Body)) / minTransferRate * float64(time.Second))
 	_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout + transferTime))
@@ -482,6 +484,15 @@
 	return c.writer.Flush()
 }
 
+// sendContinue asks the client for the body of a request.
+func (c *serverConn) sendContinue() error {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
+	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
 func (s *Server) writeBody(ctx context.Context, out io.Writer, response *Response) error {
 	if s.options.Write != nil {
 		return s.options.Write(ctx, out, response.Body, response.Booking)
--- a/io/http1/server_limits_test.go
+++ b/io/http1/server_limits_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"marjoramsaddle/core/link"
 )
 
 // headerTimeout is the header timeout of strictLimits.
@@ -283,3 +285,55 @@
 		<-reads
 	}
 }
+
+// Guards against "100 Continue" inside the body of an earlier response that is still
+// being sent: it follows that response, and the body it asks for is then served.
+func TestContinueFollowsEarlierResponses(t *testing.T) {
+	is := is.New(t)
+	download := strings.Repeat("d", 100<<10)
+	limits := strictLimits()
+	limits.HeaderTimeout = testTimeout
+	_, address := serveWith(t, ServerOptions{
+		Limits: func() Limits { return limits },
+		Handler: func(ctx context.Context, r *http.Request) *Response {
+			if r.Method == http.MethodPost {
+				return echo(ctx, r)
+			}
+			return &Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte(download)}
+		},
+		// Large bodies are sent in parts with pauses.
+		Write: func(_ context.Context, out io.Writer, body []byte, _ *link.Booking) error {
+			for half := len(body) / 2; len(body) > 0; body = body[min(half, len(body)):] {
+				if _, err := out.Write(body[:min(half, len(body))]); err != nil {
+					return err
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return nil
+		},
+	})
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST /up HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(conn)
+	first, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(first.Body)
+	is.NoErr(err)
+	is.NoErr(first.Body.Close())
+	is.Equal(string(body), download)
+	interim, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.NoErr(interim.Body.Close())
+	is.Equal(interim.StatusCode, http.StatusContinue)
+	_, err = io.WriteString(conn, "body")
+	is.NoErr(err)
+	second, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	body, err = io.ReadAll(second.Body)
+	is.NoErr(err)
+	is.NoErr(second.Body.Close())
+	is.Equal(string(body), "/up body")
+}
