sidecar: refuse what a stopping daemon cannot finish

Cause: how long new requests were served did not depend on how long they may take.

Why it works: once clients have had time to notice the stop (2.5 s), only requests whose deadline comes before the end of the process are taken; others are refused at once as not run, with Retry-After and a closed connection. The same holds for requests of other daemons, by the time that they state. Calls of running requests are taken as before. Before 2.5 s nothing changes, since refusing by the deadline alone would turn away requests of clients that cannot know yet, most of which end long before.

--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -121,6 +121,9 @@
 	Configured  <-chan struct{}
 	RetryBudget RetryBudget
 	Recorder    Recorder
+	// Remaining returns the time until this process ends, if it is stopping and only
+	// takes requests that can end before.
+	Remaining func() (time.Duration, bool)
 	// Link schedules large responses on this host's network link.
 	Link *link.Link
 	// Local returns the ID of the local backend server, or "" if it is not listed.
@@ -179,6 +182,9 @@
 	// booking reserves time on this host's link for a large response, or is nil.
 	booking *link.Booking
 	record  Record
+	// leaving is set if this daemon refuses the request because it is shutting down. The
+	// connection is then closed, so that the client connects to another daemon.
+	leaving bool
 	// exclude lists the backend servers that are not tried again.
 	exclude []backend.ID
 }
@@ -236,6 +242,11 @@
 		return nil, refused
 	}
 	h.applyRoute(r, j)
+	if remaining, stopping := h.options.Remaining(); stopping && j.parent == nil && j.deadline.Sub(h.options.Now()) > remaining {
+		j.leaving = true
+		j.record.Expected = expectedRestartTime
+		return nil, refusal.New(refusal.Leaving, refusal.NotRun)
+	}
 	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
 		return nil, refusal.New(refusal.BodyTooLarge, refusal.NotRun)
 	}
@@ -348,12 +359,11 @@
 // RefuseLeaving refuses a request because this daemon is shutting down, and closes
 // the connection.
 func (h *Handler) RefuseLeaving(r *http.Request) *http1.Response {
-	j := &job{arrived: h.options.Now()}
+	j := &job{arrived: h.options.Now(), leaving: true}
 	j.record.RequestID = h.options.HeaderCodec.RequestID(r.Header)
 	j.record.Refused = refusal.New(refusal.Leaving, refusal.NotRun)
 	j.record.Expected = expectedRestartTime
 	response := h.refusalResponse(j, j.record.Refused)
-	response.Header.Set("Connection", "close")
 	h.options.Recorder.Done(&j.record)
 	return response
 }
@@ -377,6 +387,9 @@
 	case refused.Reason == refusal.DeadlinePassed:
 		status = http.StatusGatewayTimeout
 	}
+	if j.leaving {
+		header.Set("Connection", "close")
+	}
 	j.record.Status = status
 	return &http1.Response{Status: status, Header: header}
 }
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -45,6 +45,8 @@
 	// unless it is nil.
 	behind       time.Duration
 	awaitCurrent func(ctx context.Context)
+	// remaining is returned by Options.Remaining, unless it is zero.
+	remaining time.Duration
 }
 
 func (e *environment) RequestID(header http.Header) string { return header.Get("Id") }
@@ -137,6 +139,7 @@
 			}
 		},
 		RetryBudget: e.budget,
+		Remaining:   func() (time.Duration, bool) { return e.remaining, e.remaining > 0 },
 		ParentOf:    func(string) ParentRequest { return nil },
 		Local:       func() backend.ID { return "" },
 		Link:        e.link,
@@ -311,3 +314,20 @@
 	is.Equal(e.records[2].Version, id.Version(4))
 	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodGet, "/never/", "")).Status, http.StatusNotFound)
 }
+
+// Guards against orders that a stopping daemon accepts shortly before its end and cannot
+// finish: it refuses them as not run and closes the connection, so that they are sent to
+// another daemon. Requests that can end in time are still served.
+func TestStoppingDaemonRefusesWhatItCannotFinish(t *testing.T) {
+	is := is.New(t)
+	e, handler := newEnvironment(t, outcome{status: http.StatusOK})
+	e.remaining = 310 * time.Millisecond
+	// Their routes' timeouts are 0.3 and 4 s; the client waits for a second.
+	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodPost, "/orders/", "")).Status, http.StatusOK)
+	refused := handler.Serve(context.Background(), newRequest(http.MethodGet, "/catalogue/", ""))
+	is.Equal(refused.Status, http.StatusServiceUnavailable)
+	is.Equal(refused.Header.Get("Connection"), "close")
+	is.True(refused.Header.Get("Retry-After") != "")
+	is.Equal(e.records[1].Refused.Reason, refusal.Leaving)
+	is.Equal(len(e.calls), 1)
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -21,6 +21,10 @@
 
 // Handler serves requests from other daemons.
 type Handler struct {
+	// Remaining returns the time until this process ends, if it is stopping and only
+	// takes requests that can end before. It may be nil.
+	Remaining func() (time.Duration, bool)
+
 	local LocalBackend
 	lane  *lane.Pacer
 }
@@ -38,6 +42,12 @@
 		h.refuse(w, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err))
 		return
 	}
+	if h.Remaining != nil {
+		if remaining, stopping := h.Remaining(); stopping && call.Left > remaining {
+			h.RefuseLeaving(w, r)
+			return
+		}
+	}
 	request, refused := NewRequest(r)
 	if refused != nil {
 		h.refuse(w, refused)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -129,7 +129,10 @@
 	// relistRequested makes followStore list the store again; it resets the flag.
 	relistRequested atomic.Bool
 	// draining is set when new requests are refused while those in progress finish.
-	draining       atomic.Bool
+	draining atomic.Bool
+	// endsAt is when the process ends, once it only takes requests that can end before;
+	// zero until then.
+	endsAt         atomic.Int64
 	beaconSequence atomic.Uint64
 	activeRequests atomic.Int64
 	// lastClientRequest is when a client last sent a request.
@@ -268,10 +271,11 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, HeaderCodec: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now,
+		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now, Remaining: d.remaining,
 		Local: d.localServerID, Link: d.lane.HostLink(),
 	})
 	hops := relay.NewHandler(d.localBackend, d.lane)
+	hops.Remaining = d.remaining
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -39,6 +39,11 @@
 	d.log.Info("stopping", zap.Int64("requests", d.activeRequests.Load()))
 	for d.now().Before(acceptUntil) && !d.clientsQuiet(began) {
 		time.Sleep(stopPollInterval)
+		if d.now().Sub(began) >= readinessLag {
+			// Whoever still sends here has no other daemon to send to, and would wait
+			// for what this process cannot finish.
+			d.endsAt.Store(int64(deadline))
+		}
 	}
 	d.localBackend.SetLeaving()
 	d.gossip.Send(d.members.addresses(), d.readerPiggyback())
@@ -67,6 +72,14 @@
 	d.log.Info("stopped", zap.Error(err), zap.Int64("requests", d.activeRequests.Load()), zap.Duration("took", d.now().Sub(began)))
 }
 
+// remaining returns the time until the process ends, if it is stopping and clients have
+// had time to notice. Until then requests are taken that may last longer: their clients
+// cannot know, and most end long before their deadline.
+func (d *Daemon) remaining() (time.Duration, bool) {
+	endsAt := id.Instant(d.endsAt.Load())
+	return endsAt.Sub(d.now()), endsAt != 0
+}
+
 // clientsQuiet reports whether clients have stopped sending.
 func (d *Daemon) clientsQuiet(began id.Instant) bool {
 	now := d.now()
