io/lane: a receiver that reads slowly loses its transfer slot

Cause: large bodies wait for one of two transfer slots, and a transfer gives its slot back when its body is written, or after half a second and more. Two clients that read slowly hold both; a host then answers four such clients a second, and all others wait in line.

Why it works: a slot stands for a share of the link. A write that takes ten times as long as its chunk takes on the link waits for the receiver, so the transfer goes on without a slot and its booking of the link ends. Its bytes still count towards the rate.

--- a/io/lane/pacer.go
+++ b/io/lane/pacer.go
@@ -32,9 +32,12 @@
 	// maxTransfers is the number of large bodies sent concurrently. A second one uses
 	// the link while the receiver of the first is slow.
 	maxTransfers = 2
-	// slotTimeFactor and slotTimeMargin bound how long a transfer may hold its slot:
-	// the factor times its duration at the full rate, plus the margin. A receiver
-	// that does not read must not block the others.
+	// maxWriteTime is how long one write may take before the transfer loses its slot. The
+	// link takes a chunk in chunkDuration, so a longer write waits for a receiver that
+	// reads slowly, and the link is free for others.
+	maxWriteTime = 10 * chunkDuration
+	// slotTimeFactor and slotTimeMargin bound how long a transfer may hold its slot in
+	// all: the factor times its duration at the full rate, plus the margin.
 	slotTimeFactor = 2 * maxTransfers
 	slotTimeMargin = 500 * time.Millisecond
 )
@@ -79,17 +82,25 @@
 	}
 	releaseSlot := sync.OnceFunc(func() { p.slots.Release(1) })
 	defer releaseSlot()
-	slotTimer := time.AfterFunc(p.maxSlotTime(len(body)), func() {
+	// What is sent without a slot still counts towards the rate of the link.
+	giveUpSlot := sync.OnceFunc(func() {
 		releaseSlot()
 		booking.Close()
 	})
+	slotTimer := time.AfterFunc(p.maxSlotTime(len(body)), giveUpSlot)
 	defer slotTimer.Stop()
+	writeTimer := time.AfterFunc(maxWriteTime, giveUpSlot)
+	writeTimer.Stop()
+	defer writeTimer.Stop()
 	for len(body) > 0 {
 		part := body[:min(p.chunkBytes, len(body))]
 		if err := p.limiter.WaitN(ctx, len(part)); err != nil {
 			return err
 		}
-		if _, err := out.Write(part); err != nil {
+		writeTimer.Reset(maxWriteTime)
+		_, err := out.Write(part)
+		writeTimer.Stop()
+		if err != nil {
 			return err
 		}
 		booking.Sent(len(part))
--- a/io/lane/pacer_test.go
+++ b/io/lane/pacer_test.go
@@ -75,6 +75,25 @@
 	is.True(time.Since(began) >= (2*LargeBody-minChunkBytes)*time.Second/limit)
 }
 
+// Guards against clients that read slowly keeping the downloads of others from being
+// answered within their timeouts: each of them would hold a slot in turn.
+func TestSlowReceiversDoNotDelayOthers(t *testing.T) {
+	is := is.New(t)
+	const limit, slowReceivers = 1_000_000, 16
+	p := New(link.New(limit), limit)
+	var stuck sync.WaitGroup
+	defer stuck.Wait()
+	for range slowReceivers {
+		reader, writer := io.Pipe()
+		defer func() { _ = reader.Close() }()
+		stuck.Go(func() { is.True(p.Write(context.Background(), writer, make([]byte, 2*LargeBody), nil) != nil) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	is.NoErr(p.Write(context.Background(), io.Discard, make([]byte, 2*LargeBody), nil))
+	is.True(time.Since(began) < 2*time.Second)
+}
+
 // Guards against clients that do not read, or hosts that are cut off, blocking all
 // other downloads of the host.
 func TestStalledReceiversLoseTheirSlot(t *testing.T) {
