--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -132,12 +132,13 @@
 	return all
 }
 
-// ByAddress returns the most recently started server with the given address.
-func (t *Table) ByAddress(address string) (Server, bool) {
+// ByAddress returns the most recently started server with the given address, among those
+// that may be used.
+func (t *Table) ByAddress(address string, isUsable func(*Server) bool) (Server, bool) {
 	var newest Server
 	found := false
 	for _, server := range t.servers {
-		if server.Address != address {
+		if server.Address != address || !isUsable(&server) {
 			continue
 		}
 		if !found || server.Born > newest.Born || server.Born == newest.Born && server.ID > newest.ID {
--- a/core/backend/backend_test.go
+++ b/core/backend/backend_test.go
@@ -38,10 +38,10 @@
 	table.Put(Server{ID: "i-9", Address: "a:1", Born: 1}, 0)
 	table.Put(Server{ID: "i-1", Address: "a:1", Born: 2}, 0)
 	table.Put(Server{ID: "i-5", Address: "b:1", Born: 3}, 0)
-	server, found := table.ByAddress("a:1")
+	server, found := table.ByAddress("a:1", anyServer)
 	is.True(found)
 	is.Equal(server.ID, ID("i-1"))
-	_, found = table.ByAddress("c:1")
+	_, found = table.ByAddress("c:1", anyServer)
 	is.True(!found)
 }
 
@@ -53,3 +53,5 @@
 	is.True(!table.Put(Server{ID: "i-1", Sequence: 2}, 5))
 	is.True(table.Put(Server{ID: "i-1", Sequence: 3, State: Draining}, 9))
 }
+
+func anyServer(*Server) bool { return true }
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +66,7 @@
 		}
 	}
 	// Routes take effect after the backend servers that they refer to.
-	s.publish()
+	s.publish(table)
 	s.activate(table)
 }
 
@@ -135,19 +136,27 @@
 func (s *storeState) republish() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publish()
+	s.publish(s.d.table.Load())
 }
 
 // publish passes the backend servers to the components that use them. A server that
-// has announced that it is leaving counts as draining, whatever its entry says.
-func (s *storeState) publish() {
-	all := s.servers.All()
+// has announced that it is leaving counts as draining, whatever its entry says. An entry
+// whose service the configuration does not name is none of a backend server.
+func (s *storeState) publish(table *route.Table) {
+	isUsable := func(server *backend.Server) bool {
+		if table == nil {
+			return true
+		}
+		_, configured := table.Services[server.Service]
+		return configured
+	}
+	all := slices.DeleteFunc(s.servers.All(), func(server backend.Server) bool { return !isUsable(&server) })
 	for i := range all {
 		s.applyLeaving(&all[i])
 	}
 	s.d.chooser.SetServers(all)
 	s.d.members.setServers(all)
-	local, listed := s.servers.ByAddress(s.d.settings.Load().BackendAddress)
+	local, listed := s.servers.ByAddress(s.d.settings.Load().BackendAddress, isUsable)
 	s.applyLeaving(&local)
 	s.d.localBackend.SetCurrent(local, listed)
 	s.d.applyLimit()
@@ -165,7 +174,7 @@
 	defer s.mu.Unlock()
 	if s.servers.Expire(s.d.now()) {
 		s.d.log.Info("lapsed backend servers removed")
-		s.publish()
+		s.publish(s.d.table.Load())
 	}
 }
 
