io/http1: test repeated refusals and heads that are cut off

Reports of other operators: a server wrote an earlier refusal once more on a kept connection, and requests that had run were said not to have run; a server stopped in the middle of its answer's head, and clients got a success with an empty or short body.

Result: neither happens here. Refusals with and without the id, one or two, at each of four moments between two requests, are not taken for the response to the second one: TestDuplicateResponses. A head that ends after any byte, with four kinds of framing, is an error and never a response: TestResponseEndsWithinHead. Both pass on the code as it was. A daemon never sends one id twice to a server that has refused it, so a repeated refusal with the same id cannot meet a second attempt at the same server.

--- a/io/http1/pool_robustness_test.go
+++ b/io/http1/pool_robustness_test.go
@@ -172,6 +172,9 @@
 		{"with id", responseText("1", "first")},
 		{"without id", withoutID("first")},
 		{"half", responseText("1", "first")[:25]},
+		{"refusal with id", refusalText("Id: 1\r\n")},
+		{"refusal without id", refusalText("")},
+		{"refusals", strings.Repeat(refusalText("Id: 1\r\n"), 2)},
 	}
 	timings := []struct {
 		name string
@@ -224,6 +227,7 @@
 					time.Sleep(pause)
 					got, err = pool.Do(context.Background(), address, getRequest("2"))
 					if err == nil {
+						is.Equal(got.Status, http.StatusOK)
 						is.Equal(string(got.Body), "second")
 					}
 				})
@@ -232,6 +236,27 @@
 	}
 }
 
+// refusalText returns a response that says that the request has not run.
+func refusalText(fields string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\n" + fields + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Guards against a success with an empty or short body, framed as whole, when the
+// backend server breaks off in the middle of the head of its response.
+func TestResponseEndsWithinHead(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: abc\r\n"
+	for _, framing := range []string{"Content-Length: 4\r\n", "Connection: close\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		whole := head + framing + "\r\n"
+		for length := range len(whole) {
+			text := whole[:length]
+			address := startPeer(t, func(conn net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(conn, text) })
+			if got, err := newPool(t, nil).Do(context.Background(), address, getRequest("1")); err == nil {
+				t.Errorf("%q was taken for a response with status %d and the body %q", text, got.Status, got.Body)
+			}
+		}
+	}
+}
+
 // Guards against accepting a response without an ID on a reused connection, and
 // against keeping a connection whose responses carry none.
 func TestResponsesWithoutID(t *testing.T) {
