sidecar: a daemon without a copy asks further peers for the newest copy only

A daemon that has just started takes its first copy from a peer with the newest revision it knows of, so that it does not use backend servers again that were removed since. The further peers that it asks while one is silent were not held to that.

Change: both choices use the same lowest revision.

Result: TestFirstCopyIsNewestKnown covers both and passes; its new lines fail without the change of latestAhead.

--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -266,12 +266,7 @@
 	}
 	var near, far []string
 	hasLowestAddress := true
-	minRevision := asOf + 1
-	if asOf == 0 {
-		// A daemon that has just started must not use backend servers again that were
-		// removed after an outdated copy was made.
-		minRevision = m.newestRevision
-	}
+	minRevision := m.minRevisionAhead(asOf)
 	m.newestRevision = asOf
 	for address := range m.received {
 		beacon := m.received[address]
@@ -301,16 +296,27 @@
 	return randomAddress(far)
 }
 
+// minRevisionAhead returns the lowest revision that helps a daemon whose copy is at asOf.
+// One that has just started must not use backend servers again that were removed after
+// an outdated copy was made. The caller must hold the lock.
+func (m *members) minRevisionAhead(asOf mirror.Revision) mirror.Revision {
+	if asOf == 0 {
+		return m.newestRevision
+	}
+	return asOf + 1
+}
+
 // latestAhead returns the daemon, among those whose copy is newer than the given
 // revision, whose beacon arrived last, other than those excluded. It is the most likely
 // one to be alive and reachable.
 func (m *members) latestAhead(asOf mirror.Revision, excluded func(address string) bool) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	minRevision := m.minRevisionAhead(asOf)
 	latest, receivedAt := "", id.Instant(0)
 	for address := range m.received {
 		beacon := m.received[address]
-		if beacon.Revision > asOf && beacon.Received > receivedAt && !excluded(address) {
+		if beacon.Revision >= minRevision && beacon.Received > receivedAt && !excluded(address) {
 			latest, receivedAt = address, beacon.Received
 		}
 	}
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -33,6 +33,14 @@
 		is.True(found)
 		is.Equal(address, "10.0.1.19:80")
 	}
+	nobody := func(string) bool { return false }
+	address, found := m.latestAhead(0, nobody)
+	is.True(found)
+	is.Equal(address, "10.0.1.19:80")
+	_, found = m.latestAhead(0, func(address string) bool { return address == "10.0.1.19:80" })
+	is.True(!found)
+	_, found = m.latestAhead(118, nobody)
+	is.True(found)
 	// After that any daemon that is ahead will do, so that not all ask the same one.
 	asked := map[string]bool{}
 	for range 100 {
@@ -41,7 +49,7 @@
 		asked[address] = true
 	}
 	is.True(len(asked) > 1)
-	_, found := m.peerAhead(119)
+	_, found = m.peerAhead(119)
 	is.True(!found)
 }
 
