--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -418,27 +417,6 @@
 	}
 }
 
-// bufferBody reads a body shorter than maxBufferedBody into memory and reports
-// whether it did. A longer body remains a stream with the same content.
-func (c *serverConn) bufferBody(request *http.Request) (buffered bool, err error) {
-	if request.Body == nil || request.Body == http.NoBody {
-		return true, nil
-	}
-	limits := c.server.options.Limits()
-	body := &pacedBody{conn: c.conn, body: request.Body, maxBytes: limits.BodyBytes, baseDeadline: time.Now().Add(limits.HeaderTimeout)}
-	request.Body = body
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
-	if err != nil {
-		return false, err
-	}
-	if len(data) < maxBufferedBody {
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
-		return true, nil
-	}
-	request.Body = newStreamedBody(data, body)
-	return false, nil
-}
-
 // writeLoop sends responses in request order. After a failed write, a nil response
 // or one with "Connection: close" it closes the connection, which ends the read
 // loop and cancels the requests in progress.
--- a/io/http1/streamed_body.go
+++ b/io/http1/streamed_body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // streamedBody is the body of a request that is handled while it arrives. A handler may
@@ -48,3 +49,24 @@
 	_, err := io.Copy(io.Discard, b.rest)
 	return err
 }
+
+// bufferBody reads a body shorter than maxBufferedBody into memory and reports
+// whether it did. A longer body remains a stream with the same content.
+func (c *serverConn) bufferBody(request *http.Request) (buffered bool, err error) {
+	if request.Body == nil || request.Body == http.NoBody {
+		return true, nil
+	}
+	limits := c.server.options.Limits()
+	body := &pacedBody{conn: c.conn, body: request.Body, maxBytes: limits.BodyBytes, baseDeadline: time.Now().Add(limits.HeaderTimeout)}
+	request.Body = body
+	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
+	if err != nil {
+		return false, err
+	}
+	if len(data) < maxBufferedBody {
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
+		return true, nil
+	}
+	request.Body = newStreamedBody(data, body)
+	return false, nil
+}
