sidecar: do not ask a busy peer again without a pause

Links and processors of the hosts that have a new version are needed most just then. Cause: a daemon that waits for a silent peer asks a further one. A peer that is busy with other transfers refuses within a millisecond, is not forgotten, and is still the one heard of last, so it was asked again at once, on a new connection each time, until the silent peer's timeout. Evidence: TestBusyPeersAreNotAskedWithoutPause, one silent and one busy peer for 2 s. Why the fix works: a round remembers a daemon that refused and leaves it out for 50 ms. Other daemons are still asked at once.

--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -13,7 +13,8 @@
 //	round.Asked("10.0.0.1:80", now)
 //	if at, more := round.NextAt(); more { ... } // ask another daemon at that time
 //	round.Responding("10.0.0.1:80", now)        // the header of its response arrived
-//	round.Failed("10.0.0.1:80", now)            // its connection failed, or it refused
+//	round.Busy("10.0.0.1:80", now)              // it refused because of other transfers
+//	round.Failed("10.0.0.1:80", now)            // its connection failed
 package catchup
 
 import (
@@ -31,6 +32,10 @@
 	// daemon is asked. It is longer because links are scarce: a whole copy takes up to a
 	// second on a slow one.
 	maxTransfer = time.Second
+	// busyTime is how long a daemon is not asked again after it has refused because of
+	// other transfers. A transfer of a few changes takes some milliseconds; all daemons
+	// that lack the changes ask the same few that have them.
+	busyTime = 50 * time.Millisecond
 	// MaxPending is the number of daemons that may be asked at the same time.
 	MaxPending = 4
 )
@@ -40,12 +45,16 @@
 type Round struct {
 	// pending holds until when another daemon waits for each one asked.
 	pending map[string]id.Instant
+	// busy holds until when daemons that have refused are not asked again.
+	busy map[string]id.Instant
 	// failedAt is when a daemon last failed to deliver.
 	failedAt id.Instant
 }
 
 // NewRound returns a round in which no daemon has been asked.
-func NewRound() *Round { return &Round{pending: map[string]id.Instant{}} }
+func NewRound() *Round {
+	return &Round{pending: map[string]id.Instant{}, busy: map[string]id.Instant{}}
+}
 
 // Asked records that the daemon at the address was asked.
 func (r *Round) Asked(address string, now id.Instant) {
@@ -66,10 +75,17 @@
 	r.failedAt = now
 }
 
-// IsPending reports whether the daemon was asked and may still deliver.
-func (r *Round) IsPending(address string) bool {
-	_, found := r.pending[address]
-	return found
+// Busy records that a daemon has refused because of other transfers.
+func (r *Round) Busy(address string, now id.Instant) {
+	r.Failed(address, now)
+	r.busy[address] = now.Add(busyTime)
+}
+
+// MayAsk reports whether the daemon may be asked: it is not pending, and has not just
+// refused.
+func (r *Round) MayAsk(address string, now id.Instant) bool {
+	_, isPending := r.pending[address]
+	return !isPending && !now.Before(r.busy[address])
 }
 
 // Pending returns the number of daemons that were asked and may still deliver.
--- a/core/catchup/catchup_test.go
+++ b/core/catchup/catchup_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against a daemon that waits for silent daemons one after the other, asks again
-// while a response is arriving, or asks all others at once.
+// while a response is arriving, asks all others at once, or asks a busy one without pause.
 func TestRounds(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		round, now := NewRound(), id.Instant(time.Hour)
@@ -26,8 +26,12 @@
 				round.Asked(address, now)
 			case "responding":
 				round.Responding(address, now)
+			case "busy":
+				round.Busy(address, now)
 			case "failed":
 				round.Failed(address, now)
+			case "may_ask":
+				return fmt.Sprintf("%t\n", round.MayAsk(address, now))
 			default:
 				d.Fatalf(t, "unknown command %s", d.Cmd)
 			}
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -75,14 +75,19 @@
 			if one.err == nil {
 				return
 			}
+			if errors.Is(one.err, control.ErrBusy) {
+				round.Busy(one.address, d.now())
+				continue
+			}
 			round.Failed(one.address, d.now())
 			d.recordFetchError(&one)
 		case address := <-responding:
 			round.Responding(address, d.now())
 		case <-next:
-			another, found := d.members.latestAhead(d.mirror.AsOf(), round.IsPending)
+			now := d.now()
+			another, found := d.members.latestAhead(d.mirror.AsOf(), func(address string) bool { return round.MayAsk(address, now) })
 			if !found {
-				notBefore = d.now().Add(askAgainInterval)
+				notBefore = now.Add(askAgainInterval)
 				continue
 			}
 			d.log.Info("asking another peer", zap.String("peer", another), zap.Int("pending", round.Pending()), zap.Duration("behind", d.behind()))
@@ -116,9 +121,6 @@
 // recordFetchError logs why a daemon did not deliver, and forgets it until it sends
 // another beacon.
 func (d *Daemon) recordFetchError(one *fetch) {
-	if errors.Is(one.err, control.ErrBusy) {
-		return
-	}
 	if contain.Stack(one.err) != "" {
 		d.logPanic("changes of "+one.address, one.err)
 	}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -306,17 +306,17 @@
 	return asOf + 1
 }
 
-// latestAhead returns the daemon, among those whose copy is newer than the given
-// revision, whose beacon arrived last, other than those excluded. It is the most likely
-// one to be alive and reachable.
-func (m *members) latestAhead(asOf mirror.Revision, excluded func(address string) bool) (string, bool) {
+// latestAhead returns the daemon, among those that mayAsk allows and whose copy is newer
+// than the given revision, whose beacon arrived last. It is the most likely one to be
+// alive and reachable.
+func (m *members) latestAhead(asOf mirror.Revision, mayAsk func(address string) bool) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	minRevision := m.minRevisionAhead(asOf)
 	latest, receivedAt := "", id.Instant(0)
 	for address := range m.received {
 		beacon := m.received[address]
-		if beacon.Revision >= minRevision && beacon.Received > receivedAt && !excluded(address) {
+		if beacon.Revision >= minRevision && beacon.Received > receivedAt && mayAsk(address) {
 			latest, receivedAt = address, beacon.Received
 		}
 	}
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -33,13 +33,13 @@
 		is.True(found)
 		is.Equal(address, "10.0.1.19:80")
 	}
-	nobody := func(string) bool { return false }
-	address, found := m.latestAhead(0, nobody)
+	anyone := func(string) bool { return true }
+	address, found := m.latestAhead(0, anyone)
 	is.True(found)
 	is.Equal(address, "10.0.1.19:80")
-	_, found = m.latestAhead(0, func(address string) bool { return address == "10.0.1.19:80" })
+	_, found = m.latestAhead(0, func(address string) bool { return address != "10.0.1.19:80" })
 	is.True(!found)
-	_, found = m.latestAhead(118, nobody)
+	_, found = m.latestAhead(118, anyone)
 	is.True(found)
 	// After that any daemon that is ahead will do, so that not all ask the same one.
 	asked := map[string]bool{}
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,29 @@
 // newScriptedPeer starts a peer that accepts connections. It serves its copy on them
 // unless it is silent.
 func (f *fleet) newScriptedPeer(silent bool) *scriptedPeer {
+	f.t.Helper()
+	p, listener := f.listenAsPeer()
+	if !silent {
+		p.serve(listener, control.NewHandler(p.copy, func() time.Duration { return 0 }))
+	}
+	return p
+}
+
+// newBusyPeer starts a peer that refuses each call because of other transfers, and
+// returns it with the number of the calls.
+func (f *fleet) newBusyPeer() (*scriptedPeer, *atomic.Int64) {
+	f.t.Helper()
+	p, listener := f.listenAsPeer()
+	calls := new(atomic.Int64)
+	p.serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	}))
+	return p, calls
+}
+
+// listenAsPeer returns a peer that does not accept the connections to its listener.
+func (f *fleet) listenAsPeer() (*scriptedPeer, net.Listener) {
 	f.t.Helper()
 	address := f.address(allocateIP(), 2)
 	listener, err := net.Listen("tcp", address)
@@ -51,16 +75,17 @@
 		},
 		OnBeacon: func(*control.Beacon) {}, OnError: func(error) {}, Now: now,
 	})
-	if !silent {
-		handler := control.NewHandler(p.copy, func() time.Duration { return 0 })
-		server := &http.Server{Handler: http1.EchoHeader(relay.ExchangeHeader, handler), ReadHeaderTimeout: time.Minute}
-		f.t.Cleanup(func() { _ = server.Close() })
-		go func() {
-			// Serve returns when the server is closed.
-			_ = server.Serve(listener)
-		}()
-	}
-	return p
+	return p, listener
+}
+
+// serve handles the calls of other daemons until the test ends.
+func (p *scriptedPeer) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: http1.EchoHeader(relay.ExchangeHeader, handler), ReadHeaderTimeout: time.Minute}
+	p.t.Cleanup(func() { _ = server.Close() })
+	go func() {
+		// Serve returns when the server is closed.
+		_ = server.Serve(listener)
+	}()
 }
 
 // hold sets the peer's copy to a configuration at the given revision.
@@ -110,5 +135,32 @@
 	is.True(f.call(h, http.MethodGet, "/added/x", "r-1").Status != http.StatusNotFound)
 }
 
+// Guards against a daemon that asks a busy peer again and again without pause while
+// another peer that it has asked is silent: each call is a new connection, and all
+// daemons that lack a version do the same.
+func TestBusyPeersAreNotAskedWithoutPause(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "counter")
+	h := f.hosts[0]
+	h.store = "127.0.0.1:1"
+	f.start(h)
+	busy, calls := f.newBusyPeer()
+	silent := f.newScriptedPeer(true)
+	route := platformtest.Route("kept", "/kept/", "safe", "counter", time.Second, 1)
+	for _, peer := range []*scriptedPeer{silent, busy} {
+		peer.hold(10, "r1", route)
+	}
+	const watched = 2 * time.Second
+	for began := time.Now(); time.Since(began) < watched; time.Sleep(20 * time.Millisecond) {
+		silent.announce(f, h)
+		busy.announce(f, h)
+	}
+	asked := calls.Load()
+	is.True(asked > 0)
+	if most := int64(watched / fetchInterval); asked > most {
+		t.Errorf("a busy peer was asked %d times in %v, more than %d", asked, watched, most)
+	}
+}
+
 // applyDeadline is the documented time within which a version takes effect.
 const applyDeadline = 2 * time.Second
