daemon: choose the ports of test fleets below the ephemeral range

The test let the system choose free ports, released them, and bound them again when the daemons started. Test processes that run at the same time bind "any free port" too and got them in between. Ruled out: a port that a stopped daemon still holds: the fleet that failed was the first of its test.

--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -9,8 +9,9 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
+	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -60,7 +61,7 @@
 func newFleet(t testing.TB, count int) *testFleet {
 	t.Helper()
 	is := is.New(t)
-	layout, err := fleet.New(fleet.Options{Daemons: count, Operator: fleet.Clouterie, FirstPort: 34_000})
+	layout, err := fleet.New(fleet.Options{Daemons: count, Operator: fleet.Clouterie, FirstPort: firstPortOfProcess(), IsPortFree: isPortFree})
 	is.NoErr(err)
 	f := &testFleet{
 		t: t, layout: layout, daemons: map[id.Host]*Daemon{}, backends: map[id.Host]*backend.Server{},
@@ -73,45 +74,51 @@
 	f.publisher = fleet.NewPublisher(f.platform.Address(), layout, 1)
 	_, err = f.publisher.Publish(t.Context())
 	is.NoErr(err)
-	f.assignPorts()
+	f.startBackends()
 	f.startDaemons()
 	f.waitReady()
 	return f
 }
 
-// assignPorts assigns free ports to every host and starts its backend server.
-func (f *testFleet) assignPorts() {
-	is := is.New(f.t)
-	var listeners []io.Closer
-	free := func() netip.AddrPort {
-		for {
-			tcp, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			udp, err := net.ListenPacket("udp", tcp.Addr().String())
-			if err != nil {
-				_ = tcp.Close()
-				continue
-			}
-			listeners = append(listeners, tcp, udp)
-			return netip.MustParseAddrPort(tcp.Addr().String())
-		}
+// Fleets use ports below the system's range of ephemeral ports, which outgoing
+// connections of other processes take between the choice of a port and its use. Each
+// process has its own block of ports.
+const (
+	firstPort     = 10_000
+	portBlocks    = 90
+	portsPerBlock = 100
+)
+
+func firstPortOfProcess() int { return firstPort + os.Getpid()%portBlocks*portsPerBlock }
+
+// isPortFree reports whether the port is free on loopback, for TCP and UDP.
+func isPortFree(port int) bool {
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	stream, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
 	}
-	for index := range f.layout.Hosts {
-		host := &f.layout.Hosts[index]
-		server, err := backend.Start(backend.Options{Name: string(host.Name)})
+	_ = stream.Close()
+	datagram, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	_ = datagram.Close()
+	return true
+}
+
+// startBackends starts the backend server of each host.
+func (f *testFleet) startBackends() {
+	is := is.New(f.t)
+	for _, host := range f.layout.Hosts {
+		server, err := backend.Start(backend.Options{Name: string(host.Name), Address: host.Backend.String()})
 		is.NoErr(err)
 		f.backends[host.Name] = server
-		host.Backend = netip.MustParseAddrPort(server.Address())
-		host.Caller, host.Control, host.Hop, host.Operator = free(), free(), free(), free()
-		host.AdvertisedControl = host.Control
 		f.callerAddresses[host.Name] = host.Caller.String()
 		if host.Service.Name == "counter" {
 			f.counterHosts = append(f.counterHosts, host.Name)
 		}
 	}
-	for _, listener := range listeners {
-		_ = listener.Close()
-	}
 }
 
 func (f *testFleet) startDaemons() {
