sidecar: know this daemon by its host's address, not by its listen address

What callers saw: nothing on the users' platform, where both are the same. In the soak, whose relays stand between the two, versions came later than they had to. Cause: a daemon took its listen address for the one that others know it by. It heard its own reads of the store from others, counted them as those of another reader ahead of it, and stopped reading until they had grown old. The same happens to a daemon that listens on all addresses of its host. TestDaemonIsNoMemberOfItsOwn fails before. Why the fix works: others know a daemon by the address of its host, from the store's entries and from the source of its beacons, so it compares with that.

--- a/bench/soak/versions_test.go
+++ b/bench/soak/versions_test.go
@@ -74,9 +74,7 @@
 			for round := range 3 {
 				// Afterwards two daemons read the store, and all have the version.
 				time.Sleep(2 * settleTime)
-				for deadline := time.Now().Add(applyDeadline); len(w.readers()) == 0 && time.Now().Before(deadline); {
-					time.Sleep(10 * time.Millisecond)
-				}
+				is.Equal(len(w.readers()), maxReadersHarmed)
 				// The readers have just called the store, so they count as readers for
 				// as long as possible.
 				w.publish()
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -137,7 +137,7 @@
 		return err
 	}
 	settings := platformtest.Settings{
-		Host: h.name, Domain: h.domain, IP: h.localIP, Service: h.service,
+		Host: h.name, Domain: h.domain, IP: h.advertisedIP, Service: h.service,
 		CallerAddress: w.address(h.localIP, portCaller), HopAddress: w.address(h.localIP, portHop), ControlAddress: w.address(h.localIP, portControl),
 		ReadinessAddress: w.address(h.localIP, portReadiness), BackendAddress: w.address(h.advertisedIP, portBackend),
 		StoreAddress: w.address(h.advertisedIP, portStore), Seeds: []string{w.address(w.hosts[0].advertisedIP, portControl)}, StopGrace: stopGrace,
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -264,7 +264,7 @@
 
 // handleBeacon processes the beacon of another daemon.
 func (d *Daemon) handleBeacon(beacon *control.Beacon) {
-	if beacon.Address == d.settings.Load().ControlAddress || !d.members.recordBeacon(beacon) {
+	if d.members.isSelf(beacon.Address) || !d.members.recordBeacon(beacon) {
 		return
 	}
 	d.lag.recordAnnouncement(beacon.Revision, d.mirror.AsOf(), d.now())
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -86,10 +86,16 @@
 	}
 	if _, controlPort, err := net.SplitHostPort(settings.ControlAddress); err == nil {
 		m.controlPort = controlPort
+		// Other daemons know this one by the address of its host, which is not the listen
+		// address if it listens on all addresses or behind a relay.
+		m.self.Address = net.JoinHostPort(settings.IP, controlPort)
 	}
 	return m
 }
 
+// isSelf reports whether the control address is this daemon's own.
+func (m *members) isSelf(address string) bool { return address == m.self.Address }
+
 // setServers replaces the listed backend servers.
 func (m *members) setServers(servers []backend.Server) {
 	listed := make(map[string]id.Domain, len(servers))
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/control"
@@ -14,7 +15,7 @@
 )
 
 func testMembers(now *id.Instant) *members {
-	return newMembers(platform.Settings{Domain: "d0", ControlAddress: "10.0.0.1:80"}, func() id.Instant { return *now })
+	return newMembers(platform.Settings{Domain: "d0", IP: "10.0.0.1", ControlAddress: "10.0.0.1:80"}, func() id.Instant { return *now })
 }
 
 // Guards against a daemon that starts without a copy and fetches an outdated one: a
@@ -53,6 +54,24 @@
 	is.True(!found)
 }
 
+// Guards against a daemon that takes itself for another one, because it listens on an
+// address that others do not know it by. It stopped reading the store each time it heard
+// of its own reads, and for more than a second nobody read it.
+func TestDaemonIsNoMemberOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	m := newMembers(platform.Settings{Domain: "d0", IP: "10.0.0.1", ControlAddress: "0.0.0.0:80", Seeds: []string{"10.0.0.1:80"}}, func() id.Instant { return now })
+	is.True(m.isSeed())
+	m.setServers([]backend.Server{{Address: "10.0.0.1:8080", Domain: "d0"}})
+	is.Equal(len(m.addresses()), 0)
+	is.True(m.recordBeacon(&control.Beacon{
+		Address: "10.0.0.2:80", Domain: "d1", Incarnation: 1, Sequence: 1, ReadAge: time.Hour, Received: now,
+		Readers: []control.Reader{{Address: "10.0.0.1:80", Domain: "d0", ReadAt: now}},
+	}))
+	is.Equal(len(m.recentReaders(time.Hour)), 0)
+	is.Equal(m.addresses(), []string{"10.0.0.2:80"})
+}
+
 // Guards against a reader being announced for longer than maxReaderAge, and against
 // one being known only to the daemons that receive its own beacons.
 func TestReadersAreAnnounced(t *testing.T) {
