bench/soak: separate a failure domain from the beacons of the others

Cause: the soak cut off single hosts and the readers of the store, but never a whole failure domain. Its daemons still reach the store and clients, so versions bind them, and they hear of nothing newer when the readers are on the other side. The users' record does not exclude this. Ruled out: cutting the control connections as well. Daemons do not choose the address that they connect from, so the relay looked their sockets up in /proc. Without beacons a domain asks no peers on the other side, but for what it heard just before.

--- a/bench/soak/relay.go
+++ b/bench/soak/relay.go
@@ -229,8 +229,8 @@
 }
 
 func (d *datagramRelay) isOpen(sender, receiver int) bool {
-	out, in := d.w.hosts[sender].control.current(), d.w.hosts[receiver].control.current()
-	return !out.outward && !in.inward
+	from, to := d.w.hosts[sender], d.w.hosts[receiver]
+	return !from.control.current().outward && !to.control.current().inward && !d.w.partition.separates(from, to)
 }
 
 func (r *relay) current() mode {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -13,7 +13,8 @@
 //   - Requests are served again after the last fault.
 //
 // Relays in front of each daemon and the store delay, stall (in one or both
-// directions), silence or reset connections. Signals pause, kill and stop processes.
+// directions), silence or reset connections, or drop the beacons between a failure domain
+// and the others. Signals pause, kill and stop processes.
 // The store refuses requests and loses its history. Backend servers reject requests,
 // lose responses, announce limits and drain. Versions are published singly and in
 // series, and daemons are stopped singly and one after the other. Faults overlap. Half
--- a/bench/soak/versionfaults.go
+++ b/bench/soak/versionfaults.go
@@ -11,6 +11,10 @@
 // slowStoreDelay is the delay of a slow store's responses.
 const slowStoreDelay = 240 * time.Millisecond
 
+// minPartition is longer than the time within which a side of the partition that has no
+// reader of the store must have versions.
+const minPartition = applyDeadline + time.Second
+
 // deafTime is how long the watches of the store miss all changes before it drops its
 // history.
 const deafTime = time.Second
@@ -23,6 +27,7 @@
 	{name: "control stalled inward", apply: setControlMode(mode{inward: true})},
 	{name: "control stalled outward", apply: setControlMode(mode{outward: true})},
 	{name: "control delayed", apply: setControlMode(mode{delay: 200 * time.Millisecond})},
+	{name: "domain without beacons of the others", reach: noHost, minDuration: minPartition, apply: separateDomain},
 	{name: "readers paused", reach: noHost, apply: harmReaders(pause)},
 	{name: "readers killed", reach: noHost, apply: harmReaders(kill)},
 	{name: "readers stopped", reach: noHost, apply: harmReaders(stopDaemon)},
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -85,7 +85,8 @@
 	beacons  *datagramRelay
 	recorder *recorder
 
-	versions versionLog
+	partition partition
+	versions  versionLog
 	// unstable is the time in which the store refuses some hosts or returns no old
 	// changes.
 	unstable disturbance
