bench/soak: report when a relay runs out of file descriptors

Cause: a run with 195 daemons broke the rule on versions (178 requests, slowest 4.7 s) and recovered for 123 of 1,449 requests, while the machine was not short of processor time. The logs show daemons whose peers were all silent. The process of the soak held 19,889 of the 20,000 descriptors that it may open: each relayed connection takes two, and a relay ended for good at the first failed accept. Ruled out: the daemons. They answered within a millisecond and had asked up to four peers at a time, all behind relays that no longer accepted. A relay goes on accepting after such an error, and the run fails as a run, not as a finding on the daemons.

--- a/bench/soak/relay.go
+++ b/bench/soak/relay.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // mode says how a relay delays or stalls the data that it forwards.
@@ -29,6 +31,8 @@
 	listener net.Listener
 	target   string
 	dialer   net.Dialer
+	// onError is called when the relay cannot forward a connection for want of resources.
+	onError func(error)
 
 	mu    sync.Mutex
 	mode  mode
@@ -45,13 +49,13 @@
 }
 
 // newRelay returns a relay that connects to the target from the IP address source.
-func newRelay(listen, target, source string) (*relay, error) {
+func newRelay(listen, target, source string, onError func(error)) (*relay, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
 	r := &relay{
-		listener: listener, target: target, conns: map[*relayedConn]struct{}{},
+		listener: listener, target: target, onError: onError, conns: map[*relayedConn]struct{}{},
 		dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}},
 	}
 	go r.accept()
@@ -61,9 +65,14 @@
 func (r *relay) accept() {
 	for {
 		conn, err := r.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			r.onError(err)
+			time.Sleep(stallPollInterval)
+			continue
+		}
 		go r.serve(conn)
 	}
 }
@@ -71,6 +80,9 @@
 func (r *relay) serve(client net.Conn) {
 	server, err := r.dialer.Dial("tcp", r.target)
 	if err != nil {
+		if errors.Is(err, unix.EMFILE) {
+			r.onError(err)
+		}
 		_ = client.Close()
 		return
 	}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -118,6 +118,9 @@
 	sleep(ctx, recoveryTime+finalCallsTime)
 	stop()
 	clients.Wait()
+	if err := w.relayError.Load(); err != nil {
+		return report, fmt.Errorf("a relay could not forward a connection, so what clients saw says nothing of the daemons; use fewer hosts: %w", *err)
+	}
 	w.recorder.checkGuarantees(&report, recoveredBy)
 	report.Faults = c.log
 	return report, nil
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"marjoramsaddle/bench/process"
@@ -87,6 +88,8 @@
 
 	partition partition
 	versions  versionLog
+	// relayError is the first error that kept a relay from forwarding a connection.
+	relayError atomic.Pointer[error]
 	// unstable is the time in which the store refuses some hosts or returns no old
 	// changes.
 	unstable disturbance
@@ -123,18 +126,21 @@
 	return w, err
 }
 
+// relayFailed records that a relay could not forward a connection.
+func (w *world) relayFailed(err error) { w.relayError.CompareAndSwap(nil, &err) }
+
 func (w *world) address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, w.ports[port]) }
 
 // prepare starts a host's relays and backend server and writes its daemon's settings.
 func (w *world) prepare(h *host) error {
 	var err error
-	if h.hop, err = newRelay(w.address(h.advertisedIP, portHop), w.address(h.localIP, portHop), h.localIP); err != nil {
+	if h.hop, err = newRelay(w.address(h.advertisedIP, portHop), w.address(h.localIP, portHop), h.localIP, w.relayFailed); err != nil {
 		return err
 	}
-	if h.control, err = newRelay(w.address(h.advertisedIP, portControl), w.address(h.localIP, portControl), h.localIP); err != nil {
+	if h.control, err = newRelay(w.address(h.advertisedIP, portControl), w.address(h.localIP, portControl), h.localIP, w.relayFailed); err != nil {
 		return err
 	}
-	if h.store, err = newRelay(w.address(h.advertisedIP, portStore), w.store.Address(), h.localIP); err != nil {
+	if h.store, err = newRelay(w.address(h.advertisedIP, portStore), w.store.Address(), h.localIP, w.relayFailed); err != nil {
 		return err
 	}
 	settings := platformtest.Settings{
