--- /dev/null
+++ b/cmd/marjoramsaddle-sidecar/stop_test.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against requests that a stopping daemon takes and cannot finish: its connections
+// end without a response while their backend servers are at work. Each script of
+// testdata/stops names the requests, and how they must end as their senders see it.
+//
+// The scripts begin with "play grace_ms=G [second_stop_ms=S] [other_stops_ms=T] [reload_grace_ms=R]":
+// SIGTERM to the daemon of host 0, which is killed after the grace period; at S another
+// SIGTERM, at T one to the daemon of host 1; R is the grace period that the settings file
+// has from a second after the first SIGTERM on. Each further line is a group of requests:
+//
+//	KIND route=NAME from_ms=F every_ms=E count=N takes_ms=W [ignores_limit] [body_ms=B]
+//
+// KIND is client for requests of clients at host 0, peer for those of clients at host 1
+// for the backend server of host 0, and call for those that the backend server of host 0
+// makes for a request that it has had since before the first SIGTERM. They are sent from
+// F milliseconds after the first SIGTERM on, and take W milliseconds at their backend
+// server, which stops work at its time limit unless ignores_limit is set. The body of a
+// request takes B milliseconds to arrive.
+func TestStops(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "sidecar")
+	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, built)
+	}
+	paths, err := filepath.Glob("testdata/stops/*")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no scripts in testdata/stops: %v", err)
+	}
+	for i, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Parallel()
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				p := play{t: t, network: i}
+				var grace, second, other, reloaded int
+				d.ScanArgs(t, "grace_ms", &grace)
+				d.MaybeScanArgs(t, "second_stop_ms", &second)
+				d.MaybeScanArgs(t, "other_stop_ms", &other)
+				d.MaybeScanArgs(t, "reload_grace_ms", &reloaded)
+				p.grace, p.secondStop, p.otherStop = milliseconds(grace), milliseconds(second), milliseconds(other)
+				p.reloadedGrace = milliseconds(reloaded)
+				for line := range strings.Lines(d.Input) {
+					p.groups = append(p.groups, parseGroup(t, line))
+				}
+				return p.run(program)
+			})
+		})
+	}
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// group is a number of requests of one kind that are sent in a series.
+type group struct {
+	text, kind, route  string
+	from, every, takes time.Duration
+	body               time.Duration
+	ignoresLimit       bool
+	count              int
+}
+
+func parseGroup(t *testing.T, line string) *group {
+	t.Helper()
+	g := &group{text: strings.TrimSpace(line), count: 1}
+	for i, field := range strings.Fields(line) {
+		name, value, _ := strings.Cut(field, "=")
+		var number int
+		_, err := fmt.Sscan(value, &number)
+		switch {
+		case i == 0:
+			g.kind = name
+		case name == "route":
+			g.route = value
+		case name == "ignores_limit":
+			g.ignoresLimit = true
+		case err != nil:
+			t.Fatalf("field %q in %q", field, line)
+		case name == "from_ms":
+			g.from = milliseconds(number)
+		case name == "every_ms":
+			g.every = milliseconds(number)
+		case name == "count":
+			g.count = number
+		case name == "takes_ms":
+			g.takes = milliseconds(number)
+		case name == "body_ms":
+			g.body = milliseconds(number)
+		default:
+			t.Fatalf("field %q in %q", field, line)
+		}
+	}
+	return g
+}
+
+// sentAt returns when request i of the group is sent, relative to the first SIGTERM.
+func (g *group) sentAt(i int) time.Duration { return g.from + time.Duration(i)*g.every }
+
+// target returns the path of a request. It tells the backend server what to do.
+func (g *group) target(i int) string {
+	work := fmt.Sprintf("/%s/%s?takes_ms=%d&ignores_limit=%t", g.route, g.kind, g.takes.Milliseconds(), g.ignoresLimit)
+	if g.kind == "call" {
+		// The backend server that makes the call reads when it does so.
+		work += fmt.Sprintf("&at_ms=%d", g.sentAt(i).Milliseconds())
+	}
+	return work
+}
+
+// tally counts how the requests of a group ended.
+type tally struct{ answered, refused, failed, lost, ranThoughRefused int }
+
+func (c tally) String() string {
+	text := fmt.Sprintf("answered %d, refused %d, failed %d, lost %d", c.answered, c.refused, c.failed, c.lost)
+	if c.ranThoughRefused > 0 {
+		text += fmt.Sprintf(", refused and ran %d", c.ranThoughRefused)
+	}
+	return text
+}
+
+// add counts one request: lost without a response, answered with success, refused as not
+// run, or failed.
+func (c *tally) add(status int, err error, ran bool) {
+	switch {
+	case err != nil:
+		c.lost++
+	case status == http.StatusOK:
+		c.answered++
+	case status == http.StatusServiceUnavailable:
+		c.refused++
+		if ran {
+			c.ranThoughRefused++
+		}
+	default:
+		c.failed++
+	}
+}
+
+// sleepUntil waits for the time, or until the context ends.
+func sleepUntil(ctx context.Context, at time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(at)):
+	}
+}
