sidecar: one rule for all requests that begin while a daemon stops

What callers saw: calls that a running request made 3.2 to 5.5 s after a SIGTERM, 2.7 s long, were taken and passed on; their backend servers worked on them, and at 5.8 s their connections ended without a response (LOST), also on routes that may not be repeated.

Cause: the check against the end of the process stood in two handlers and left out calls. Requests that began later than they arrived were not checked at all: those that leave a queue or are tried again after the SIGTERM.

Why it works: core/shutdown holds the times of a stop and one rule for clients' requests, calls and requests of other daemons. It is asked when a request arrives, before each attempt and when the request leaves the queue of the backend server; what is refused has not run. A call that can end in time is still served until shortly before the end (short_calls). The stop's times are those of the SIGTERM: a reload, a second SIGTERM and a stop of the other end change nothing.

--- /dev/null
+++ b/core/shutdown/shutdown.go
@@ -0,0 +1,113 @@
+// Package shutdown decides which requests a daemon that is stopping may still begin.
+//
+// The platform ends the process a grace period after it has asked it to stop. A request
+// that is at work then ends without a response, and its sender cannot know whether it has
+// run. So one rule holds for all requests, wherever they come from, and at each point at
+// which one begins or goes on: when it arrives, before each attempt, and when it leaves a
+// queue. A request that is refused has not run.
+//
+// # Usage
+//
+//	plan := shutdown.NewPlan(now, grace)
+//	if !plan.Admits(shutdown.Work{Origin: shutdown.Client, Arrived: arrived, Deadline: deadline}) {
+//		// Refuse the request as not run.
+//	}
+//	plan = plan.RefuseNew(now) // once clients have stopped sending, or at plan.AcceptUntil()
+package shutdown
+
+import (
+	"time"
+
+	"marjoramsaddle/core/id"
+)
+
+//go:generate stringer -type=Origin -linecomment -output=origin_string.go
+
+// Origin is where a request comes from.
+type Origin int
+
+// The origins. Their names appear in logs.
+const (
+	// Client is a client of this host.
+	Client Origin = iota // clients
+	// Call is this host's backend server, on behalf of a request that it runs.
+	Call // calls
+	// Peer is another daemon, whose client's request is for this host's backend server.
+	Peer // peers
+	// OriginCount is the number of origins.
+	OriginCount // end
+)
+
+const (
+	// readinessLag is how long clients may still send after readiness has failed: the
+	// platform checks once a second and acts after two failures.
+	readinessLag = 2500 * time.Millisecond
+	// acceptShare is the share of the grace period in which new requests are served.
+	// The rest is for those in progress, whose timeouts are about a second.
+	acceptShare = 0.58
+	// stopMargin is the time left before the platform kills the process.
+	stopMargin = 200 * time.Millisecond
+	// responseMargin is the time for a response that the backend server sends at the
+	// deadline to reach the sender of the request.
+	responseMargin = 150 * time.Millisecond
+)
+
+// Work is a request that may begin or go on.
+type Work struct {
+	Origin Origin
+	// Arrived is when the request reached this daemon.
+	Arrived id.Instant
+	// Deadline is when the request ends at the latest.
+	Deadline id.Instant
+}
+
+// Plan holds the times of one stop. It does not change; RefuseNew returns another one. A
+// nil Plan is that of a daemon that is not stopping.
+type Plan struct {
+	noticedAt, acceptUntil, endsAt id.Instant
+	// refusesFrom is when new requests began to be refused, or zero.
+	refusesFrom id.Instant
+}
+
+// NewPlan returns the plan of a daemon that is asked to stop now and is killed when the
+// grace period has passed.
+func NewPlan(now id.Instant, grace time.Duration) *Plan {
+	return &Plan{
+		noticedAt:   now.Add(readinessLag),
+		acceptUntil: now.Add(time.Duration(acceptShare * float64(grace))),
+		endsAt:      now.Add(grace - stopMargin),
+	}
+}
+
+// NoticedAt returns when clients have noticed the failed readiness.
+func (p *Plan) NoticedAt() id.Instant { return p.noticedAt }
+
+// AcceptUntil returns when new requests are refused at the latest.
+func (p *Plan) AcceptUntil() id.Instant { return p.acceptUntil }
+
+// EndsAt returns when the process ends at the latest.
+func (p *Plan) EndsAt() id.Instant { return p.endsAt }
+
+// RefuseNew returns a plan that refuses requests of clients and other daemons that arrive
+// from now on. Calls are still admitted, since the requests that make them are finishing.
+func (p *Plan) RefuseNew(now id.Instant) *Plan {
+	refusing := *p
+	refusing.refusesFrom = now
+	return &refusing
+}
+
+// RefusesNew reports whether requests that arrive now are refused, except calls.
+func (p *Plan) RefusesNew() bool { return p != nil && p.refusesFrom != 0 }
+
+// Admits reports whether the work may begin or go on. A request that arrived before its
+// sender could notice the stop is admitted even if it may last longer than the process:
+// most end long before their deadline.
+func (p *Plan) Admits(work Work) bool {
+	if p == nil {
+		return true
+	}
+	if work.Origin != Call && p.RefusesNew() && !work.Arrived.Before(p.refusesFrom) {
+		return false
+	}
+	return work.Arrived.Before(p.noticedAt) || !p.endsAt.Add(-responseMargin).Before(work.Deadline)
+}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -86,7 +86,7 @@
 
 // mayRetry reports whether another attempt is safe and can succeed in time.
 func (h *Handler) mayRetry(ctx context.Context, j *job, refused *refusal.Error) bool {
-	if ctx.Err() != nil || j.request.Stream != nil {
+	if ctx.Err() != nil || j.request.Stream != nil || j.leaving {
 		return false
 	}
 	if refused.Outcome != refusal.NotRun && !j.route.Idempotent {
@@ -112,6 +112,9 @@
 // attempt chooses a backend server and sends the request to it. It excludes the
 // server from further attempts, unless a no-wait attempt found it at capacity.
 func (h *Handler) attempt(ctx context.Context, j *job, number int) (*http1.Response, *refusal.Error) {
+	if refused := h.checkStopping(j); refused != nil {
+		return nil, refused
+	}
 	now := h.options.Now()
 	choice, found := h.options.Chooser.Choose(placement.Request{
 		Service: j.service, Large: j.route.Large, Now: now, Exclude: j.exclude, Local: h.options.Local(),
@@ -124,6 +127,7 @@
 	call := relay.Call{
 		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
 		Aim: j.route.Aim, NoWait: number <= noWaitAttempts, Large: j.route.Large,
+		Origin: j.origin(), Arrived: j.arrived,
 	}
 	response, refused := h.send(ctx, j, &choice.Server, call)
 	h.recordCalls(j, response, refused)
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -26,6 +26,7 @@
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/core/route"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/relay"
 )
@@ -121,9 +122,8 @@
 	Configured  <-chan struct{}
 	RetryBudget RetryBudget
 	Recorder    Recorder
-	// Remaining returns the time until this process ends, if it is stopping and only
-	// takes requests that can end before.
-	Remaining func() (time.Duration, bool)
+	// Admits reports whether a request may begin while this process is stopping.
+	Admits func(work shutdown.Work) bool
 	// Link schedules large responses on this host's network link.
 	Link *link.Link
 	// Local returns the ID of the local backend server, or "" if it is not listed.
@@ -189,6 +189,14 @@
 	exclude []backend.ID
 }
 
+// origin returns where the request comes from.
+func (j *job) origin() shutdown.Origin {
+	if j.parent != nil {
+		return shutdown.Call
+	}
+	return shutdown.Client
+}
+
 // Serve returns the response to the request, or nil if the client has disconnected.
 // It implements http1.Handler.
 func (h *Handler) Serve(ctx context.Context, r *http.Request) *http1.Response {
@@ -242,10 +250,8 @@
 		return nil, refused
 	}
 	h.applyRoute(r, j)
-	if remaining, stopping := h.options.Remaining(); stopping && j.parent == nil && j.deadline.Sub(h.options.Now()) > remaining {
-		j.leaving = true
-		j.record.Expected = expectedRestartTime
-		return nil, refusal.New(refusal.Leaving, refusal.NotRun)
+	if refused := h.checkStopping(j); refused != nil {
+		return nil, refused
 	}
 	if limit := table.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
 		return nil, refusal.New(refusal.BodyTooLarge, refusal.NotRun)
@@ -267,6 +273,17 @@
 	return h.sendWithRetries(ctx, j)
 }
 
+// checkStopping returns a refusal if this process is stopping and cannot finish the
+// request.
+func (h *Handler) checkStopping(j *job) *refusal.Error {
+	if h.options.Admits(shutdown.Work{Origin: j.origin(), Arrived: j.arrived, Deadline: j.deadline}) {
+		return nil
+	}
+	j.leaving = true
+	j.record.Expected = expectedRestartTime
+	return refusal.New(refusal.Leaving, refusal.NotRun)
+}
+
 // table returns the configuration in force, or nil. Just after the daemon has
 // started there is none; requests then wait for it, which serves them sooner than
 // a refusal and a retry by the client.
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -18,6 +18,7 @@
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/core/route"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/relay"
 )
@@ -45,8 +46,10 @@
 	// unless it is nil.
 	behind       time.Duration
 	awaitCurrent func(ctx context.Context)
-	// remaining is returned by Options.Remaining, unless it is zero.
-	remaining time.Duration
+	// admits is Options.Admits unless it is nil.
+	admits func(work shutdown.Work) bool
+	// parent is the request of the local backend server that makes all requests, or nil.
+	parent ParentRequest
 }
 
 func (e *environment) RequestID(header http.Header) string { return header.Get("Id") }
@@ -93,6 +96,13 @@
 
 func (e *environment) Retry(refusal.Reason) {}
 
+// parentRequest is a ParentRequest that counts the calls refused on its behalf.
+type parentRequest struct{ refused int }
+
+func (p *parentRequest) CallRefused() { p.refused++ }
+
+func (p *parentRequest) RecordCall(id.Service) {}
+
 // statusCallRefused stands for a 500 response because a call was refused.
 const statusCallRefused = -1
 
@@ -139,8 +149,8 @@
 			}
 		},
 		RetryBudget: e.budget,
-		Remaining:   func() (time.Duration, bool) { return e.remaining, e.remaining > 0 },
-		ParentOf:    func(string) ParentRequest { return nil },
+		Admits:      func(work shutdown.Work) bool { return e.admits == nil || e.admits(work) },
+		ParentOf:    func(string) ParentRequest { return e.parent },
 		Local:       func() backend.ID { return "" },
 		Link:        e.link,
 		Now:         func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
@@ -321,7 +331,7 @@
 func TestStoppingDaemonRefusesWhatItCannotFinish(t *testing.T) {
 	is := is.New(t)
 	e, handler := newEnvironment(t, outcome{status: http.StatusOK})
-	e.remaining = 310 * time.Millisecond
+	e.admits = func(work shutdown.Work) bool { return work.Deadline.Sub(work.Arrived) <= 310*time.Millisecond }
 	// Their routes' timeouts are 0.3 and 4 s; the client waits for a second.
 	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodPost, "/orders/", "")).Status, http.StatusOK)
 	refused := handler.Serve(context.Background(), newRequest(http.MethodGet, "/catalogue/", ""))
@@ -331,3 +341,28 @@
 	is.Equal(e.records[1].Refused.Reason, refusal.Leaving)
 	is.Equal(len(e.calls), 1)
 }
+
+// Guards against calls that a stopping daemon takes like those of a running one, and
+// against attempts that it begins although it has been stopped since the first.
+func TestStoppingDaemonChecksCallsAndAttempts(t *testing.T) {
+	is := is.New(t)
+	e, handler := newEnvironment(t, outcome{refused: refusal.New(refusal.ConnectFailed, refusal.NotRun)})
+	parent := &parentRequest{}
+	e.parent = parent
+	var checked []shutdown.Work
+	e.admits = func(work shutdown.Work) bool {
+		checked = append(checked, work)
+		return len(checked) < 3
+	}
+	response := handler.Serve(context.Background(), newRequest(http.MethodPost, "/orders/", ""))
+	is.Equal(response.Status, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Connection"), "close")
+	is.Equal(e.records[0].Refused.Reason, refusal.Leaving)
+	is.Equal(len(e.calls), 1)
+	is.Equal(parent.refused, 1)
+	// On arrival and before each of two attempts.
+	is.Equal(len(checked), 3)
+	is.Equal(checked[2], checked[0])
+	is.Equal(checked[0].Origin, shutdown.Call)
+	is.Equal(checked[0].Deadline.Sub(checked[0].Arrived), 300*time.Millisecond)
+}
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -29,6 +29,7 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 )
 
@@ -81,6 +82,10 @@
 	// restarted and not know it.
 	Limit    announcement.Limit
 	LimitAge time.Duration
+	// Origin and Arrived tell where the request comes from and when it reached this
+	// daemon. They are not sent.
+	Origin  shutdown.Origin
+	Arrived id.Instant
 }
 
 // LocalBackend sends requests to the backend server on this host.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/lane"
 )
@@ -19,20 +21,26 @@
 // can be retried. Orders of both users are below 8 KB.
 const MaxBufferedBody = 256 << 10
 
+// HandlerOptions configures a Handler.
+type HandlerOptions struct {
+	// Local sends the requests to the local backend server, and Lane large responses.
+	Local LocalBackend
+	Lane  *lane.Pacer
+	// Admits reports whether a request may begin while this process is stopping.
+	Admits func(work shutdown.Work) bool
+	Now    func() id.Instant
+}
+
 // Handler serves requests from other daemons.
 type Handler struct {
-	// Remaining returns the time until this process ends, if it is stopping and only
-	// takes requests that can end before. It may be nil.
-	Remaining func() (time.Duration, bool)
-
-	local LocalBackend
-	lane  *lane.Pacer
+	options HandlerOptions
+	local   LocalBackend
+	lane    *lane.Pacer
 }
 
-// NewHandler returns a handler that forwards requests to the local backend server
-// and sends large responses through the pacer.
-func NewHandler(local LocalBackend, lane *lane.Pacer) *Handler {
-	return &Handler{local: local, lane: lane}
+// NewHandler returns a handler with the given options.
+func NewHandler(options HandlerOptions) *Handler {
+	return &Handler{options: options, local: options.Local, lane: options.Lane}
 }
 
 // ServeHTTP implements http.Handler.
@@ -42,11 +50,10 @@
 		h.refuse(w, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err))
 		return
 	}
-	if h.Remaining != nil {
-		if remaining, stopping := h.Remaining(); stopping && call.Left > remaining {
-			h.RefuseLeaving(w, r)
-			return
-		}
+	call.Origin, call.Arrived = shutdown.Peer, h.options.Now()
+	if !h.options.Admits(shutdown.Work{Origin: call.Origin, Arrived: call.Arrived, Deadline: call.Arrived.Add(call.Left)}) {
+		h.RefuseLeaving(w, r)
+		return
 	}
 	request, refused := NewRequest(r)
 	if refused != nil {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -12,9 +12,11 @@
 
 	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
+	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/lane"
 )
@@ -43,9 +45,16 @@
 	return placement.Report{Server: "i-1", Running: 3, Queued: 1, Slots: 18, Service: 150 * time.Millisecond, FailureRate: 0.5, LinkWait: time.Second, TransferTime: time.Millisecond}
 }
 
+// newHandler returns the handler of a daemon that is not stopping.
+func newHandler(local LocalBackend, lane *lane.Pacer) *Handler {
+	return NewHandler(HandlerOptions{
+		Local: local, Lane: lane, Admits: func(shutdown.Work) bool { return true }, Now: func() id.Instant { return id.InstantOf(time.Now()) },
+	})
+}
+
 func send(t *testing.T, local *fakeBackend, call Call, header http.Header) (*http1.Response, *refusal.Error, []placement.Report) {
 	t.Helper()
-	daemon := httptest.NewServer(NewHandler(local, lane.New(link.New(0), 0)))
+	daemon := httptest.NewServer(newHandler(local, lane.New(link.New(0), 0)))
 	defer daemon.Close()
 	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
 	defer pool.CloseIdle()
@@ -72,6 +81,10 @@
 	is.Equal(response.Status, 201)
 	is.Equal(string(response.Body), "done")
 	is.Equal(response.Header.Get("X-Stamp"), "s")
+	is.Equal(local.call.Origin, shutdown.Peer)
+	is.True(time.Since(local.call.Arrived.Time()) < time.Minute)
+	// These two are not sent.
+	call.Origin, call.Arrived = local.call.Origin, local.call.Arrived
 	is.Equal(local.call, call)
 	is.Equal(string(local.request.Body), "crate")
 	is.Equal(local.request.Target, "/a?b")
@@ -100,7 +113,7 @@
 func TestForeignPeers(t *testing.T) {
 	is := is.New(t)
 	local := &fakeBackend{}
-	handler := NewHandler(local, lane.New(link.New(0), 0))
+	handler := newHandler(local, lane.New(link.New(0), 0))
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
 	is.Equal(recorder.Code, http.StatusServiceUnavailable)
@@ -137,7 +150,7 @@
 	booking, _ := hostLink.Book(0, time.Hour)
 	booking.SetSize(40_000)
 	local := &fakeBackend{response: &http1.Response{Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, 2*lane.LargeBody)}}
-	daemon := httptest.NewServer(NewHandler(local, lane.New(hostLink, 0)))
+	daemon := httptest.NewServer(newHandler(local, lane.New(hostLink, 0)))
 	defer daemon.Close()
 	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
 	defer pool.CloseIdle()
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -26,6 +26,7 @@
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/relay"
 )
@@ -80,6 +81,8 @@
 	// LimitLearned is called for each request whose sender knows a limit of the backend
 	// server, before the request is admitted. It may be nil.
 	LimitLearned func(server *backend.Server, learned announcement.LearnedLimit)
+	// Admits reports whether a request may be sent while this process is stopping.
+	Admits func(work shutdown.Work) bool
 }
 
 // Server forwards requests to the backend server on this host. It is safe for
@@ -257,6 +260,9 @@
 	if !started.Before(deadline) {
 		return nil, refusal.New(refusal.DeadlinePassed, refusal.NotRun)
 	}
+	if !s.options.Admits(shutdown.Work{Origin: call.Origin, Arrived: call.Arrived, Deadline: deadline}) {
+		return nil, refusal.New(refusal.Leaving, refusal.NotRun)
+	}
 	s.options.HeaderCodec.Prepare(request.Header, deadline.Sub(started), call.Server)
 	active := s.begin(s.options.HeaderCodec.RequestID(request.Header), started)
 	defer s.end(active)
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -15,6 +15,7 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/relay"
 )
@@ -45,7 +46,8 @@
 	start := time.Now()
 	s := New(Options{
 		Address: strings.TrimPrefix(backendServer.URL, "http://"), Pool: pool, HeaderCodec: fakeHeaderCodec{}, Link: link.New(0),
-		Now: func() id.Instant { return id.Instant(time.Since(start)) },
+		Now:    func() id.Instant { return id.Instant(time.Since(start)) },
+		Admits: func(shutdown.Work) bool { return true },
 	})
 	s.SetCurrent(backend.Server{ID: "i-1", Slots: 1}, true)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/core/route"
+	"marjoramsaddle/core/shutdown"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/io/http1"
 	"marjoramsaddle/io/ingress"
@@ -125,14 +126,10 @@
 	currentAt atomic.Int64
 	// lastReadAt is when this daemon itself last got a response from the store.
 	lastReadAt atomic.Int64
-	stopping   atomic.Bool
 	// relistRequested makes followStore list the store again; it resets the flag.
 	relistRequested atomic.Bool
-	// draining is set when new requests are refused while those in progress finish.
-	draining atomic.Bool
-	// endsAt is when the process ends, once it only takes requests that can end before;
-	// zero until then.
-	endsAt         atomic.Int64
+	// shutdown is the plan of the stop in progress; nil before one.
+	shutdown       atomic.Pointer[shutdown.Plan]
 	beaconSequence atomic.Uint64
 	activeRequests atomic.Int64
 	// lastClientRequest is when a client last sent a request.
@@ -187,7 +184,7 @@
 		Refused: func(requestID string, call relay.Call, refused *refusal.Error) {
 			d.requestLogger.Refused(requestID, call, refused, d.localBackend.Load())
 		},
-		Responded: d.recordResponse, LimitLearned: d.adoptLimit,
+		Responded: d.recordResponse, LimitLearned: d.adoptLimit, Admits: d.admits,
 	})
 	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
 	d.peerClient = control.NewClient(d.hopPool)
@@ -271,11 +268,10 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, HeaderCodec: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now, Remaining: d.remaining,
+		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now, Admits: d.admits,
 		Local: d.localServerID, Link: d.lane.HostLink(),
 	})
-	hops := relay.NewHandler(d.localBackend, d.lane)
-	hops.Remaining = d.remaining
+	hops := relay.NewHandler(relay.HandlerOptions{Local: d.localBackend, Lane: d.lane, Admits: d.admits, Now: d.now})
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
@@ -361,7 +357,7 @@
 	go func() {
 		err := server.Serve(listener)
 		// A stop closes the listeners of net/http servers before the servers.
-		stopped := errors.Is(err, http.ErrServerClosed) || d.draining.Load() && errors.Is(err, net.ErrClosed)
+		stopped := errors.Is(err, http.ErrServerClosed) || d.shutdown.Load().RefusesNew() && errors.Is(err, net.ErrClosed)
 		if !stopped {
 			d.log.Error("listener stopped", zap.String("address", address), zap.Error(err))
 		}
@@ -374,7 +370,7 @@
 func (d *Daemon) trackCallerRequests(handler *ingress.Handler) http1.Handler {
 	return func(ctx context.Context, r *http.Request) *http1.Response {
 		isInternal := d.parentOf(platform.Headers{}.RequestID(r.Header)) != nil
-		if d.draining.Load() && !isInternal {
+		if d.shutdown.Load().RefusesNew() && !isInternal {
 			return handler.RefuseLeaving(r)
 		}
 		if !isInternal {
@@ -390,7 +386,7 @@
 // ones at the end of the stop.
 func (d *Daemon) trackHopRequests(handler *relay.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.draining.Load() {
+		if d.shutdown.Load().RefusesNew() {
 			handler.RefuseLeaving(w, r)
 			return
 		}
@@ -403,7 +399,7 @@
 // ready serves the platform's readiness checks. The daemon is ready while it has a
 // configuration and is not stopping.
 func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.table.Load() == nil {
+	if d.shutdown.Load() != nil || d.table.Load() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -9,19 +9,12 @@
 	"go.uber.org/zap"
 
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/shutdown"
 )
 
 const (
-	// readinessLag is how long clients may still send after readiness has failed: the
-	// platform checks once a second and acts after two failures.
-	readinessLag = 2500 * time.Millisecond
 	// quietPeriod without a request shows that clients have stopped sending.
 	quietPeriod = 300 * time.Millisecond
-	// acceptShare is the share of the grace period in which new requests are served.
-	// The rest is for those in progress, whose timeouts are about a second.
-	acceptShare = 0.58
-	// stopMargin is the time left before the platform kills the process.
-	stopMargin = 200 * time.Millisecond
 	// stopPollInterval is how often the stop checks for remaining work.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -32,22 +25,16 @@
 // refused while those in progress finish.
 func (d *Daemon) stop(s *servers) {
 	began := d.now()
-	grace := d.settings.Load().StopGrace
-	acceptUntil := began.Add(time.Duration(acceptShare * float64(grace)))
-	deadline := began.Add(grace - stopMargin)
-	d.stopping.Store(true)
+	plan := shutdown.NewPlan(began, d.settings.Load().StopGrace)
+	deadline := plan.EndsAt()
+	d.shutdown.Store(plan)
 	d.log.Info("stopping", zap.Int64("requests", d.activeRequests.Load()))
-	for d.now().Before(acceptUntil) && !d.clientsQuiet(began) {
+	for d.now().Before(plan.AcceptUntil()) && !d.clientsQuiet(plan) {
 		time.Sleep(stopPollInterval)
-		if d.now().Sub(began) >= readinessLag {
-			// Whoever still sends here has no other daemon to send to, and would wait
-			// for what this process cannot finish.
-			d.endsAt.Store(int64(deadline))
-		}
 	}
 	d.localBackend.SetLeaving()
 	d.gossip.Send(d.members.addresses(), d.readerPiggyback())
-	d.draining.Store(true)
+	d.shutdown.Store(plan.RefuseNew(d.now()))
 	d.log.Info("refusing new requests", zap.Int64("requests", d.activeRequests.Load()))
 	for d.now().Before(deadline) && d.activeRequests.Load() > 0 {
 		time.Sleep(stopPollInterval)
@@ -72,16 +59,11 @@
 	d.log.Info("stopped", zap.Error(err), zap.Int64("requests", d.activeRequests.Load()), zap.Duration("took", d.now().Sub(began)))
 }
 
-// remaining returns the time until the process ends, if it is stopping and clients have
-// had time to notice. Until then requests are taken that may last longer: their clients
-// cannot know, and most end long before their deadline.
-func (d *Daemon) remaining() (time.Duration, bool) {
-	endsAt := id.Instant(d.endsAt.Load())
-	return endsAt.Sub(d.now()), endsAt != 0
-}
+// admits reports whether a request may begin or go on.
+func (d *Daemon) admits(work shutdown.Work) bool { return d.shutdown.Load().Admits(work) }
 
 // clientsQuiet reports whether clients have stopped sending.
-func (d *Daemon) clientsQuiet(began id.Instant) bool {
+func (d *Daemon) clientsQuiet(plan *shutdown.Plan) bool {
 	now := d.now()
-	return now.Sub(began) >= readinessLag && now.Sub(id.Instant(d.lastClientRequest.Load())) >= quietPeriod
+	return !now.Before(plan.NoticedAt()) && now.Sub(id.Instant(d.lastClientRequest.Load())) >= quietPeriod
 }
