sidecar: refuse early in a stop what is expected to outlast the process

What callers saw: orders sent 2.0 to 2.4 s after a SIGTERM, before clients can notice it, on a route whose requests take 4.3 s were taken, run and cut off at 5.8 s without a response. Those of another host's clients ended with 502 though they ran.

Cause: before clients can notice, a request was taken whatever it lasts, since refusing by its deadline alone turns away many that end long before.

Why it works: the daemon knows the mean response time of each route (core/latency) and tells it to the daemon beside the backend server. What is expected to outlast the process is refused at once as not run. What is begun although its deadline is after the end gets an earlier deadline: the backend server stops work in time, and its own response arrives. Calls that it makes end at that deadline as well. The time that a body takes to arrive between two daemons no longer extends the deadline.

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -9,7 +9,9 @@
 // # Usage
 //
 //	plan := shutdown.NewPlan(now, grace)
-//	if !plan.Admits(shutdown.Work{Origin: shutdown.Client, Arrived: arrived, Deadline: deadline}) {
+//	work := shutdown.Work{Origin: shutdown.Client, Arrived: arrived, Deadline: deadline, Expected: mean}
+//	deadline, admitted := plan.Admit(work, now)
+//	if !admitted {
 //		// Refuse the request as not run.
 //	}
 //	plan = plan.RefuseNew(now) // once clients have stopped sending, or at plan.AcceptUntil()
@@ -59,6 +61,8 @@
 	Arrived id.Instant
 	// Deadline is when the request ends at the latest.
 	Deadline id.Instant
+	// Expected is how long such a request takes on average, or zero if that is unknown.
+	Expected time.Duration
 }
 
 // Plan holds the times of one stop. It does not change; RefuseNew returns another one. A
@@ -99,15 +103,26 @@
 // RefusesNew reports whether requests that arrive now are refused, except calls.
 func (p *Plan) RefusesNew() bool { return p != nil && p.refusesFrom != 0 }
 
-// Admits reports whether the work may begin or go on. A request that arrived before its
-// sender could notice the stop is admitted even if it may last longer than the process:
-// most end long before their deadline.
-func (p *Plan) Admits(work Work) bool {
+// Admit reports whether the work may begin or go on now, and returns its deadline.
+//
+// A request that arrived before its sender could notice the stop is admitted even if its
+// deadline is after the end of the process, because most end long before their deadline.
+// It is refused if it is expected to last too long. Otherwise its deadline becomes
+// earlier, so that the backend server stops work while its response can still arrive.
+func (p *Plan) Admit(work Work, now id.Instant) (deadline id.Instant, admitted bool) {
 	if p == nil {
-		return true
+		return work.Deadline, true
 	}
 	if work.Origin != Call && p.RefusesNew() && !work.Arrived.Before(p.refusesFrom) {
-		return false
+		return 0, false
+	}
+	latest := p.endsAt.Add(-responseMargin)
+	switch {
+	case !latest.Before(work.Deadline):
+		return work.Deadline, true
+	case work.Arrived.Before(p.noticedAt) && now.Add(work.Expected).Before(latest):
+		return latest, true
+	default:
+		return 0, false
 	}
-	return work.Arrived.Before(p.noticedAt) || !p.endsAt.Add(-responseMargin).Before(work.Deadline)
 }
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -33,10 +33,19 @@
 			case "refuse_new":
 				plan = plan.RefuseNew(at("at_ms"))
 				return ""
-			case "admits":
+			case "admit":
 				var origin string
 				d.ScanArgs(t, "origin", &origin)
-				return fmt.Sprintf("%t\n", plan.Admits(Work{Origin: origins[origin], Arrived: at("arrived_ms"), Deadline: at("deadline_ms")}))
+				now := at("arrived_ms")
+				if d.HasArg("now_ms") {
+					now = at("now_ms")
+				}
+				work := Work{Origin: origins[origin], Arrived: at("arrived_ms"), Deadline: at("deadline_ms"), Expected: at("expected_ms").Sub(began)}
+				deadline, admitted := plan.Admit(work, now)
+				if !admitted {
+					return "refused\n"
+				}
+				return fmt.Sprintf("until %v\n", deadline.Sub(began))
 			default:
 				d.Fatalf(t, "unknown command %s", d.Cmd)
 				return ""
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -21,6 +21,7 @@
 	"marjoramsaddle/core/admission"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/latency"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/core/refusal"
@@ -122,8 +123,9 @@
 	Configured  <-chan struct{}
 	RetryBudget RetryBudget
 	Recorder    Recorder
-	// Admits reports whether a request may begin while this process is stopping.
-	Admits func(work shutdown.Work) bool
+	// Admit reports whether a request may begin while this process is stopping, and
+	// returns its deadline.
+	Admit func(work shutdown.Work) (id.Instant, bool)
 	// Link schedules large responses on this host's network link.
 	Link *link.Link
 	// Local returns the ID of the local backend server, or "" if it is not listed.
@@ -135,10 +137,16 @@
 }
 
 // Handler serves the requests of clients and of the local backend server.
-type Handler struct{ options Options }
+type Handler struct {
+	options Options
+	// latencies holds how long the requests of each route take.
+	latencies *latency.Table
+}
 
 // New returns a Handler with the given options.
-func New(options Options) *Handler { return &Handler{options: options} }
+func New(options Options) *Handler {
+	return &Handler{options: options, latencies: latency.NewTable()}
+}
 
 // Record describes a finished request for logs and metrics.
 type Record struct {
@@ -224,6 +232,9 @@
 	}
 	switch {
 	case refused == nil:
+		if response.Status < http.StatusInternalServerError {
+			h.latencies.Record(j.route.Name, j.record.Elapsed)
+		}
 		response.Booking = j.booking
 		j.record.Status = response.Status
 		response.Header = relay.Forwardable(response.Header)
@@ -274,9 +285,11 @@
 }
 
 // checkStopping returns a refusal if this process is stopping and cannot finish the
-// request.
+// request. It may set an earlier deadline.
 func (h *Handler) checkStopping(j *job) *refusal.Error {
-	if h.options.Admits(shutdown.Work{Origin: j.origin(), Arrived: j.arrived, Deadline: j.deadline}) {
+	work := shutdown.Work{Origin: j.origin(), Arrived: j.arrived, Deadline: j.deadline, Expected: h.latencies.Mean(j.route.Name)}
+	if deadline, admitted := h.options.Admit(work); admitted {
+		j.deadline = deadline
 		return nil
 	}
 	j.leaving = true
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -46,8 +46,8 @@
 	// unless it is nil.
 	behind       time.Duration
 	awaitCurrent func(ctx context.Context)
-	// admits is Options.Admits unless it is nil.
-	admits func(work shutdown.Work) bool
+	// admit is Options.Admit unless it is nil.
+	admit func(work shutdown.Work) (id.Instant, bool)
 	// parent is the request of the local backend server that makes all requests, or nil.
 	parent ParentRequest
 }
@@ -149,11 +149,16 @@
 			}
 		},
 		RetryBudget: e.budget,
-		Admits:      func(work shutdown.Work) bool { return e.admits == nil || e.admits(work) },
-		ParentOf:    func(string) ParentRequest { return e.parent },
-		Local:       func() backend.ID { return "" },
-		Link:        e.link,
-		Now:         func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
+		Admit: func(work shutdown.Work) (id.Instant, bool) {
+			if e.admit == nil {
+				return work.Deadline, true
+			}
+			return e.admit(work)
+		},
+		ParentOf: func(string) ParentRequest { return e.parent },
+		Local:    func() backend.ID { return "" },
+		Link:     e.link,
+		Now:      func() id.Instant { return id.Instant(time.Hour + time.Since(start)) },
 	})
 }
 
@@ -331,7 +336,9 @@
 func TestStoppingDaemonRefusesWhatItCannotFinish(t *testing.T) {
 	is := is.New(t)
 	e, handler := newEnvironment(t, outcome{status: http.StatusOK})
-	e.admits = func(work shutdown.Work) bool { return work.Deadline.Sub(work.Arrived) <= 310*time.Millisecond }
+	e.admit = func(work shutdown.Work) (id.Instant, bool) {
+		return work.Deadline, work.Deadline.Sub(work.Arrived) <= 310*time.Millisecond
+	}
 	// Their routes' timeouts are 0.3 and 4 s; the client waits for a second.
 	is.Equal(handler.Serve(context.Background(), newRequest(http.MethodPost, "/orders/", "")).Status, http.StatusOK)
 	refused := handler.Serve(context.Background(), newRequest(http.MethodGet, "/catalogue/", ""))
@@ -350,9 +357,9 @@
 	parent := &parentRequest{}
 	e.parent = parent
 	var checked []shutdown.Work
-	e.admits = func(work shutdown.Work) bool {
+	e.admit = func(work shutdown.Work) (id.Instant, bool) {
 		checked = append(checked, work)
-		return len(checked) < 3
+		return work.Deadline.Add(-100 * time.Millisecond), len(checked) < 3
 	}
 	response := handler.Serve(context.Background(), newRequest(http.MethodPost, "/orders/", ""))
 	is.Equal(response.Status, http.StatusServiceUnavailable)
@@ -362,7 +369,10 @@
 	is.Equal(parent.refused, 1)
 	// On arrival and before each of two attempts.
 	is.Equal(len(checked), 3)
-	is.Equal(checked[2], checked[0])
+	// A deadline that was set earlier holds for what follows.
+	is.Equal(e.calls[0].Left.Round(100*time.Millisecond), 100*time.Millisecond)
+	is.Equal(checked[2].Deadline, checked[0].Deadline.Add(-200*time.Millisecond))
+	is.Equal(checked[2].Arrived, checked[0].Arrived)
 	is.Equal(checked[0].Origin, shutdown.Call)
 	is.Equal(checked[0].Deadline.Sub(checked[0].Arrived), 300*time.Millisecond)
 }
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -41,6 +41,7 @@
 	headerLeft        = headerPrefix + "Left-Us"
 	headerRank        = headerPrefix + "Rank"
 	headerAim         = headerPrefix + "Aim-Us"
+	headerExpected    = headerPrefix + "Expected-Us"
 	headerCallRefused = headerPrefix + "Call-Refused"
 	headerCalls       = headerPrefix + "Calls"
 	headerNoWait      = headerPrefix + "No-Wait"
@@ -55,6 +56,9 @@
 // response from a late duplicate of an earlier one.
 const ExchangeHeader = headerPrefix + "Exchange"
 
+// maxExpected bounds the expected time in a call. Timeouts are a few seconds.
+const maxExpected = 24 * time.Hour
+
 // maxLimitAge bounds the age of a limit in a call. Daemons forget limits earlier.
 const maxLimitAge = 7 * 24 * time.Hour
 
@@ -72,6 +76,8 @@
 	Rank int
 	// Aim is the target response time. Later responses are worth less to the client.
 	Aim time.Duration
+	// Expected is how long such requests take on average, or zero if that is unknown.
+	Expected time.Duration
 	// NoWait makes the daemon refuse the request instead of queueing it.
 	NoWait bool
 	// Large announces a large response, for which the daemon books time on its
@@ -104,6 +110,9 @@
 	header.Set(headerLeft, strconv.FormatInt(c.Left.Microseconds(), 10))
 	header.Set(headerRank, strconv.Itoa(c.Rank))
 	header.Set(headerAim, strconv.FormatInt(c.Aim.Microseconds(), 10))
+	if c.Expected > 0 {
+		header.Set(headerExpected, strconv.FormatInt(c.Expected.Microseconds(), 10))
+	}
 	if c.NoWait {
 		header.Set(headerNoWait, flagTrue)
 	}
@@ -162,9 +171,25 @@
 		NoWait: header.Get(headerNoWait) == flagTrue,
 		Large:  header.Get(headerLarge) == flagTrue,
 	}
+	if call.Expected, err = readExpected(header); err != nil {
+		return Call{}, err
+	}
 	return call, call.readLimit(header)
 }
 
+// readExpected decodes headerExpected, which daemons leave out if they do not know it.
+func readExpected(header http.Header) (time.Duration, error) {
+	text := header.Get(headerExpected)
+	if text == "" {
+		return 0, nil
+	}
+	microseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || microseconds < 0 || microseconds > maxExpected.Microseconds() {
+		return 0, errInvalidCallHeaders
+	}
+	return time.Duration(microseconds) * time.Microsecond, nil
+}
+
 // MarkCallRefused marks the response of a request that failed because a call it
 // made was refused.
 func MarkCallRefused(header http.Header) { header.Set(headerCallRefused, flagTrue) }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -26,9 +26,10 @@
 	// Local sends the requests to the local backend server, and Lane large responses.
 	Local LocalBackend
 	Lane  *lane.Pacer
-	// Admits reports whether a request may begin while this process is stopping.
-	Admits func(work shutdown.Work) bool
-	Now    func() id.Instant
+	// Admit reports whether a request may begin while this process is stopping, and
+	// returns its deadline.
+	Admit func(work shutdown.Work) (id.Instant, bool)
+	Now   func() id.Instant
 }
 
 // Handler serves requests from other daemons.
@@ -51,7 +52,10 @@
 		return
 	}
 	call.Origin, call.Arrived = shutdown.Peer, h.options.Now()
-	if !h.options.Admits(shutdown.Work{Origin: call.Origin, Arrived: call.Arrived, Deadline: call.Arrived.Add(call.Left)}) {
+	deadline, admitted := h.options.Admit(shutdown.Work{
+		Origin: call.Origin, Arrived: call.Arrived, Deadline: call.Arrived.Add(call.Left), Expected: call.Expected,
+	})
+	if !admitted {
 		h.RefuseLeaving(w, r)
 		return
 	}
@@ -60,6 +64,8 @@
 		h.refuse(w, refused)
 		return
 	}
+	// The body may have taken a part of the time.
+	call.Left = deadline.Sub(h.options.Now())
 	var booking *link.Booking
 	if call.Large {
 		booked, ok := h.lane.HostLink().Book(h.local.Load().Service, h.maxLinkWait(call))
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -45,10 +45,14 @@
 	return placement.Report{Server: "i-1", Running: 3, Queued: 1, Slots: 18, Service: 150 * time.Millisecond, FailureRate: 0.5, LinkWait: time.Second, TransferTime: time.Millisecond}
 }
 
+// handlerTime is the time at the daemon of newHandler, whose clock does not advance.
+const handlerTime = id.Instant(time.Hour)
+
 // newHandler returns the handler of a daemon that is not stopping.
 func newHandler(local LocalBackend, lane *lane.Pacer) *Handler {
 	return NewHandler(HandlerOptions{
-		Local: local, Lane: lane, Admits: func(shutdown.Work) bool { return true }, Now: func() id.Instant { return id.InstantOf(time.Now()) },
+		Local: local, Lane: lane, Now: func() id.Instant { return handlerTime },
+		Admit: func(work shutdown.Work) (id.Instant, bool) { return work.Deadline, true },
 	})
 }
 
@@ -73,7 +77,7 @@
 	is := is.New(t)
 	local := &fakeBackend{response: &http1.Response{Status: 201, Header: http.Header{"X-Stamp": {"s"}, "Connection": {"close"}}, Body: []byte("done")}}
 	call := Call{
-		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true,
+		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true, Expected: 250 * time.Millisecond,
 		Limit: announcement.Limit{Announced: true, Rate: 27.6}, LimitAge: 1500 * time.Millisecond,
 	}
 	response, refused, reports := send(t, local, call, http.Header{"X-Id": {"1"}, "Marjoramsaddle-Rank": {"0"}})
@@ -82,7 +86,7 @@
 	is.Equal(string(response.Body), "done")
 	is.Equal(response.Header.Get("X-Stamp"), "s")
 	is.Equal(local.call.Origin, shutdown.Peer)
-	is.True(time.Since(local.call.Arrived.Time()) < time.Minute)
+	is.Equal(local.call.Arrived, handlerTime)
 	// These two are not sent.
 	call.Origin, call.Arrived = local.call.Origin, local.call.Arrived
 	is.Equal(local.call, call)
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -81,8 +81,9 @@
 	// LimitLearned is called for each request whose sender knows a limit of the backend
 	// server, before the request is admitted. It may be nil.
 	LimitLearned func(server *backend.Server, learned announcement.LearnedLimit)
-	// Admits reports whether a request may be sent while this process is stopping.
-	Admits func(work shutdown.Work) bool
+	// Admit reports whether a request may be sent while this process is stopping, and
+	// returns its deadline.
+	Admit func(work shutdown.Work) (id.Instant, bool)
 }
 
 // Server forwards requests to the backend server on this host. It is safe for
@@ -260,7 +261,8 @@
 	if !started.Before(deadline) {
 		return nil, refusal.New(refusal.DeadlinePassed, refusal.NotRun)
 	}
-	if !s.options.Admits(shutdown.Work{Origin: call.Origin, Arrived: call.Arrived, Deadline: deadline}) {
+	deadline, admitted := s.options.Admit(shutdown.Work{Origin: call.Origin, Arrived: call.Arrived, Deadline: deadline, Expected: call.Expected})
+	if !admitted {
 		return nil, refusal.New(refusal.Leaving, refusal.NotRun)
 	}
 	s.options.HeaderCodec.Prepare(request.Header, deadline.Sub(started), call.Server)
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -46,8 +46,8 @@
 	start := time.Now()
 	s := New(Options{
 		Address: strings.TrimPrefix(backendServer.URL, "http://"), Pool: pool, HeaderCodec: fakeHeaderCodec{}, Link: link.New(0),
-		Now:    func() id.Instant { return id.Instant(time.Since(start)) },
-		Admits: func(shutdown.Work) bool { return true },
+		Now:   func() id.Instant { return id.Instant(time.Since(start)) },
+		Admit: func(work shutdown.Work) (id.Instant, bool) { return work.Deadline, true },
 	})
 	s.SetCurrent(backend.Server{ID: "i-1", Slots: 1}, true)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -184,7 +184,7 @@
 		Refused: func(requestID string, call relay.Call, refused *refusal.Error) {
 			d.requestLogger.Refused(requestID, call, refused, d.localBackend.Load())
 		},
-		Responded: d.recordResponse, LimitLearned: d.adoptLimit, Admits: d.admits,
+		Responded: d.recordResponse, LimitLearned: d.adoptLimit, Admit: d.admit,
 	})
 	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
 	d.peerClient = control.NewClient(d.hopPool)
@@ -268,10 +268,10 @@
 func (d *Daemon) listen(ctx context.Context) (*servers, error) {
 	handler := ingress.New(ingress.Options{
 		Service: func() id.Service { return d.settings.Load().Service }, HeaderCodec: platform.Headers{}, Chooser: d.chooser, Sender: sender{d},
-		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now, Admits: d.admits,
+		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now, Admit: d.admit,
 		Local: d.localServerID, Link: d.lane.HostLink(),
 	})
-	hops := relay.NewHandler(relay.HandlerOptions{Local: d.localBackend, Lane: d.lane, Admits: d.admits, Now: d.now})
+	hops := relay.NewHandler(relay.HandlerOptions{Local: d.localBackend, Lane: d.lane, Admit: d.admit, Now: d.now})
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -59,8 +59,10 @@
 	d.log.Info("stopped", zap.Error(err), zap.Int64("requests", d.activeRequests.Load()), zap.Duration("took", d.now().Sub(began)))
 }
 
-// admits reports whether a request may begin or go on.
-func (d *Daemon) admits(work shutdown.Work) bool { return d.shutdown.Load().Admits(work) }
+// admit reports whether a request may begin or go on, and returns its deadline.
+func (d *Daemon) admit(work shutdown.Work) (id.Instant, bool) {
+	return d.shutdown.Load().Admit(work, d.now())
+}
 
 // clientsQuiet reports whether clients have stopped sending.
 func (d *Daemon) clientsQuiet(plan *shutdown.Plan) bool {
