core/shutdown: bound requests also when the grace ends before clients can notice

What callers saw: with a grace of 3 s, calls that a running request made 2.0 to 2.5 s after the SIGTERM, 1.5 s long, were passed on and run; none had a response of its backend server. No site has such a grace; settings may.

Cause: that requests must be able to end in time held from 2.5 s on, in which clients notice the stop. With this grace new requests are refused from 1.74 s on, and the process ends at 2.8 s.

Evidence: TestStops short_grace before the change: 10 of 10 calls failed after they had run (on 10 of 10 calls and 36 of 36 orders were lost).

Why it works: the rule holds from the time at which new requests are refused, if that is earlier.

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -76,14 +76,17 @@
 // NewPlan returns the plan of a daemon that is asked to stop now and is killed when the
 // grace period has passed.
 func NewPlan(now id.Instant, grace time.Duration) *Plan {
+	acceptTime := time.Duration(acceptShare * float64(grace))
 	return &Plan{
-		noticedAt:   now.Add(readinessLag),
-		acceptUntil: now.Add(time.Duration(acceptShare * float64(grace))),
+		// A short grace period may leave clients no time to notice.
+		noticedAt:   now.Add(min(readinessLag, acceptTime)),
+		acceptUntil: now.Add(acceptTime),
 		endsAt:      now.Add(grace - stopMargin),
 	}
 }
 
-// NoticedAt returns when clients have noticed the failed readiness.
+// NoticedAt returns when clients have noticed the failed readiness, or AcceptUntil if
+// that is earlier.
 func (p *Plan) NoticedAt() id.Instant { return p.noticedAt }
 
 // AcceptUntil returns when new requests are refused at the latest.
