bench/soak: a restarted host counts as stopping until its daemon listens

Cause: the soak took a host for started as soon as the process was. A client that then connected was refused, since the daemon did not listen yet, and when the next planned stop of the host began before the client had its error, the call counted as cut off by that stop. So the stop cut nothing off; a machine that is slow to start processes shows it.

Why it works: the host counts as stopping until a connection to its daemon is accepted. A connection that is refused while a daemon should listen is still reported.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -236,6 +236,9 @@
 	return func() {
 		<-stopped
 		c.restartDaemon(h)
+		if err := c.w.awaitListening(h); err != nil {
+			c.logf("%s does not listen after its restart: %v", h.name, err)
+		}
 		h.setStopping(false)
 	}
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -128,6 +128,27 @@
 	}
 }
 
+// Guards against a soak that blames a planned stop for a connection that is refused since
+// the daemon restarted by an earlier stop does not listen yet.
+func TestHostIsStoppingUntilItsDaemonListens(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	slowStart := filepath.Join(folder, "slow-start")
+	script := "#!/bin/sh\nsleep 0.5\nexec " + buildDaemon(t) + ` "$@"` + "\n"
+	is.NoErr(os.WriteFile(slowStart, []byte(script), 0o700)) //nolint:gosec // It has to be executable.
+	w, err := newWorld(&Options{Program: slowStart, Folder: folder, Seed: 150})
+	is.NoErr(err)
+	defer w.close()
+	is.NoErr(w.start(context.Background()))
+	h := w.hosts[0]
+	c := &faultInjector{w: w, began: time.Now()}
+	stopDaemon(c, h)()
+	is.True(!h.isStopping())
+	conn, err := net.Dial("tcp", w.address(h.localIP, portCaller))
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+}
+
 // Guards against a soak that overlooks a host that handles requests by an old version,
 // or that expects a version of hosts that are out of touch.
 func TestOldVersionsAreDetected(t *testing.T) {
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -107,11 +108,11 @@
 	for i := range w.ports {
 		w.ports[i] = firstPort + os.Getpid()%portBlocks*int(portCount) + i
 	}
-	net := 20 + options.Seed%200
+	network := 20 + options.Seed%200
 	for i := range max(len(services), options.Hosts) {
 		h := &host{
 			name: fmt.Sprintf("host-%d", i), domain: fmt.Sprintf("domain-%d", i%3), service: services[i%len(services)],
-			localIP: fmt.Sprintf("127.%d.0.%d", net, i+1), advertisedIP: fmt.Sprintf("127.%d.1.%d", net, i+1),
+			localIP: fmt.Sprintf("127.%d.0.%d", network, i+1), advertisedIP: fmt.Sprintf("127.%d.1.%d", network, i+1),
 		}
 		h.settings, h.log = filepath.Join(options.Folder, h.name+".json"), filepath.Join(options.Folder, h.name+".log")
 		w.hosts = append(w.hosts, h)
@@ -244,6 +245,19 @@
 	return log.Close()
 }
 
+// awaitListening waits until the host's daemon accepts the connections of clients.
+func (w *world) awaitListening(h *host) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	return h.daemon.WaitReady(ctx, func(ctx context.Context) error {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", w.address(h.localIP, portCaller))
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	})
+}
+
 func (w *world) start(ctx context.Context) error {
 	w.publish()
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
