bench/soak: judge planned stops by long requests and the calls that they make

Change: two clients of each host send requests that last up to 3.5 s on an unsafe route, and the backend server makes a call for most of them. Backend servers that leave finish their requests first. The report says how many requests met a stop in calm.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -222,7 +222,7 @@
 }
 
 func stopDaemon(c *faultInjector, h *host) func() {
-	h.setStopping(true)
+	h.setStopping(time.Now())
 	c.w.loseTouch(h, ownHost, stopGrace)
 	stopped := make(chan struct{})
 	go func() {
@@ -239,20 +239,23 @@
 		if err := c.w.awaitListening(h); err != nil {
 			c.logf("%s does not listen after its restart: %v", h.name, err)
 		}
-		h.setStopping(false)
+		h.setStopping(time.Time{})
 	}
 }
 
-func (h *host) setStopping(stopping bool) {
+// setStopping records since when the host's daemon is stopping; zero means it is not.
+func (h *host) setStopping(since time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stopping = stopping
+	h.stoppedAt = since
 }
 
-func (h *host) isStopping() bool {
+// stoppingSince returns when the host's daemon was asked to stop, or zero if it is not
+// stopping.
+func (h *host) stoppingSince() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.stopping
+	return h.stoppedAt
 }
 
 func setHopMode(to mode) func(*faultInjector, *host) func() {
@@ -317,6 +320,9 @@
 
 func (c *faultInjector) replaceLeaving(h *host) {
 	time.Sleep(drainDeadline + time.Second)
+	for end := time.Now().Add(maxFinishingTime); h.running.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(stallPollInterval)
+	}
 	if err := c.w.replaceBackend(h); err != nil {
 		c.logf("%s: %v", h.name, err)
 	}
--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -19,6 +17,8 @@
 	// drainingSince is when the backend server was registered as draining, or zero.
 	drainingSince time.Time
 	at            time.Time
+	// ended is when the backend server ended its work, or zero.
+	ended time.Time
 	// rejected is set if the backend server reported that the request did not run.
 	rejected bool
 }
@@ -33,6 +33,11 @@
 	// during it. stopping is set if the daemon was asked to stop during the call, and
 	// duringStop if the call began while it was stopping.
 	undisturbed, stopping, duringStop bool
+	// stoppedAt is when the daemon was asked to stop, if stopping or duringStop is set.
+	stoppedAt time.Time
+	// timeout is set for long requests and calls, and isCall for calls.
+	timeout time.Duration
+	isCall  bool
 	// reused is set if the call was sent on a connection that had carried others.
 	reused bool
 	status int
@@ -67,10 +72,17 @@
 
 func newRecorder() *recorder { return &recorder{runs: map[string][]run{}, known: newKnowledge()} }
 
-func (b *recorder) recordRun(id string, one run) {
+// recordRun records an arrival and returns the function that records its end.
+func (b *recorder) recordRun(id string, one run) (end func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	index := len(b.runs[id])
 	b.runs[id] = append(b.runs[id], one)
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.runs[id][index].ended = time.Now()
+	}
 }
 
 // executed returns how often the request has run so far.
@@ -111,6 +123,9 @@
 type Report struct {
 	Seed                      uint64
 	Calls, Served, Unanswered int
+	// MetByStops counts the requests that a planned stop met in calm, and CallsMetByStops
+	// those of them that a backend server made.
+	MetByStops, CallsMetByStops int
 	// Probes counts the probes of versions at hosts in touch. SlowestVersion is the
 	// longest time that a version took to bind one of them, and SlowestAt when and where.
 	Probes         int
@@ -139,6 +154,12 @@
 		if one.err != nil {
 			report.Unanswered++
 		}
+		if one.undisturbed && (one.stopping || one.duringStop) {
+			report.MetByStops++
+			if one.isCall {
+				report.CallsMetByStops++
+			}
+		}
 		if one.began.After(recoveredBy) {
 			late++
 			if served {
@@ -198,11 +219,14 @@
 		broken = append(broken, "ran twice")
 	}
 	broken = append(broken, c.brokenVersions(c.outcome(executed))...)
+	met := c.undisturbed && (c.stopping || c.duringStop && c.wasRead(executed)) && !c.mayBeCutOff(arrivals)
 	switch {
 	case c.err != nil:
-		if c.undisturbed && (c.stopping || c.duringStop && c.wasRead(executed)) {
+		if met {
 			broken = append(broken, "cut off by a planned stop")
 		}
+	case met && c.brokenOff(arrivals):
+		broken = append(broken, "broken off by a planned stop")
 	case c.status == http.StatusOK:
 		if !c.signed || !bytes.Equal(c.body, responseBody(c.id)) || executed == 0 {
 			broken = append(broken, "answered with something else")
@@ -221,8 +245,7 @@
 // stopping and got no response. When a daemon closes a listener or a connection, it may
 // cut off a call that has just been sent and that it has not read.
 func (c *call) wasRead(executed int) bool {
-	var dial *net.OpError
-	if errors.As(c.err, &dial) && dial.Op == "dial" {
+	if isDialError(c.err) {
 		return false
 	}
 	return executed > 0 || c.duration > lossSlack
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -5,7 +5,8 @@
 //   - No order runs twice.
 //   - A request rejected as not run has not run and never will.
 //   - Responses are complete and belong to their request.
-//   - Planned stops abort no request.
+//   - Planned stops abort no request, whether a client, another daemon or a backend server
+//     has sent it, and break off no work in progress.
 //   - Draining backend servers receive no requests, whether the store or their own
 //     responses say so.
 //   - Backend servers receive no more requests than the limit that they announce.
@@ -104,6 +105,10 @@
 		}
 		if options.Versions {
 			clients.Go(func() { w.probeVersions(ctx, h, options.Seed) })
+			continue
+		}
+		for j := range longClientsPerHost {
+			clients.Go(func() { w.longClient(ctx, h, j) })
 		}
 	}
 	if options.Versions {
@@ -145,7 +150,7 @@
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		target := targets[i%len(targets)]
-		one := call{id: requestID(h.name, keepsConnection, i), target: target + "x", idempotent: target != "/order/", began: time.Now()}
+		one := call{id: requestID(h.name, keepsConnection, i), target: target + "x", idempotent: target != "/order/", timeout: requestTimeout, began: time.Now()}
 		method := http.MethodGet
 		if !one.idempotent {
 			method = http.MethodPost
@@ -153,7 +158,7 @@
 		if target == "/moved/" {
 			one.moved = map[string]bool{}
 		}
-		stoppingBefore := h.isStopping()
+		stoppedBefore := h.stoppingSince()
 		callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
 		var reply platformtest.Response
 		var err error
@@ -167,7 +172,11 @@
 		one.duration, one.err = time.Since(one.began), err
 		one.status, one.body, one.signed = reply.Status, []byte(reply.Body), reply.Signature != ""
 		one.undisturbed = w.undisturbed(h, one.began)
-		one.stopping, one.duringStop = !stoppingBefore && h.isStopping(), stoppingBefore
+		one.stoppedAt, one.duringStop = stoppedBefore, !stoppedBefore.IsZero()
+		if !one.duringStop {
+			one.stoppedAt = h.stoppingSince()
+			one.stopping = !one.stoppedAt.IsZero()
+		}
 		if one.moved != nil {
 			one.moved = w.versions.services(w.versions.inForce(one.began, applyDeadline))
 			if !one.undisturbed {
@@ -243,8 +252,11 @@
 	return fmt.Sprintf("%s.%t-%d", host, keepsConnection, number)
 }
 
-// hostOfRequest returns the host at which the request began.
+// hostOfRequest returns the host at which the request or call began.
 func hostOfRequest(id string) string {
+	if _, caller, isCall := strings.Cut(id, callMark); isCall {
+		return caller
+	}
 	host, _, _ := strings.Cut(id, ".")
 	return host
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -95,6 +96,20 @@
 	began.stopping, began.duringStop = true, false
 	refusedConnection := unread
 	refusedConnection.err = &net.OpError{Op: "dial", Err: os.ErrClosed}
+	stoppedAt := time.Unix(1_700_000_000, 0)
+	atWork := []run{{service: shop, target: "/order/x"}}
+	early := call{id: "a", target: "/order/x", err: io.EOF, undisturbed: true, duringStop: true, stoppedAt: stoppedAt, began: stoppedAt.Add(2900 * time.Millisecond), duration: 2900 * time.Millisecond}
+	late := early
+	late.began, late.duration = stoppedAt.Add(3100*time.Millisecond), 2700*time.Millisecond
+	soon := early
+	soon.duration = time.Second
+	replaced := late
+	replaced.err, replaced.status, replaced.timeout = nil, http.StatusBadGateway, longTimeout
+	expired := replaced
+	expired.duration = longTimeout
+	failed := replaced
+	failed.signed = true
+	ended := []run{{service: shop, target: "/order/x", ended: stoppedAt.Add(4 * time.Second)}}
 	moved := ok
 	moved.moved = map[string]bool{stock: true}
 	ran := run{service: shop, target: "/order/x"}
@@ -118,6 +133,13 @@
 		{"request left without a response", unread, nil, true},
 		{"request from before the stop", began, nil, true},
 		{"connection refused", refusedConnection, nil, false},
+		{"at work at the end of the grace, sent early", early, atWork, false},
+		{"at work at the end of the grace, sent late", late, atWork, true},
+		{"cut off before the end of the grace", soon, atWork, true},
+		{"answer of the daemon in place of that of a server at work", replaced, atWork, true},
+		{"answer of the daemon after the server had ended", replaced, ended, false},
+		{"answer of the daemon at the deadline", expired, atWork, false},
+		{"failure of the server", failed, atWork, false},
 		{"other target", ok, []run{{service: shop, target: "/order/y"}}, true},
 		{"other service", ok, []run{{service: stock, target: "/order/x"}}, true},
 		{"old version", moved, []run{ran}, true},
@@ -143,7 +165,7 @@
 	h := w.hosts[0]
 	c := &faultInjector{w: w, began: time.Now()}
 	stopDaemon(c, h)()
-	is.True(!h.isStopping())
+	is.True(h.stoppingSince().IsZero())
 	conn, err := net.Dial("tcp", w.address(h.localIP, portCaller))
 	is.NoErr(err)
 	is.NoErr(conn.Close())
--- a/bench/soak/versions.go
+++ b/bench/soak/versions.go
@@ -219,6 +219,8 @@
 			platformtest.Route("lookup", "/lookup/", "safe", shop, 2*time.Second, 2),
 			platformtest.Route("order", "/order/", "unsafe", shop, 2*time.Second, 1),
 			platformtest.Route("moved", "/moved/", "safe", moved, 2*time.Second, 2),
+			platformtest.Route("long", longPrefix, "unsafe", shop, longTimeout, 1),
+			platformtest.Route("called", calledPrefix, "unsafe", shop, longTimeout, 1),
 		}
 		for r := addedRoute(max(1, v-addedLifetime+1)); versionID(r) <= v; r++ {
 			routes = append(routes, platformtest.Route(fmt.Sprint("added-", int(r)), r.prefix(), "safe", shop, 2*time.Second, 2))
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,7 +42,7 @@
 	shop  = "shop"
 	stock = "stock"
 	// slots is the number of slots of each backend server.
-	slots = 8
+	slots = 24
 	// readyTimeout limits the time to start the fleet.
 	readyTimeout = 10 * time.Second
 	// stopGrace is the time between SIGTERM and SIGKILL, also in the daemons' settings.
@@ -69,8 +70,12 @@
 	drainingSince time.Time
 	// failureHandler, if set, handles a third of the backend server's requests.
 	failureHandler http.HandlerFunc
-	stopping       bool
-	backendCount   int
+	// stoppedAt is when the daemon was asked to stop, or zero if it is not stopping.
+	stoppedAt    time.Time
+	backendCount int
+
+	// running counts the requests at the backend server.
+	running atomic.Int64
 
 	// touch is the time in which the guarantees on versions do not bind the host, and
 	// shown what its daemon has shown of them.
@@ -180,6 +185,8 @@
 
 // run handles a request at a backend server.
 func (w *world) run(h *host, name string, out http.ResponseWriter, r *http.Request) {
+	h.running.Add(1)
+	defer h.running.Add(-1)
 	h.mu.Lock()
 	failureHandler, drainingSince := h.failureHandler, h.drainingSince
 	h.mu.Unlock()
@@ -191,7 +198,11 @@
 		w.recorder.recordRun(id, one)
 		return
 	}
-	w.recorder.recordRun(id, one)
+	defer w.recorder.recordRun(id, one)()
+	if strings.HasPrefix(r.RequestURI, longPrefix) || strings.HasPrefix(r.RequestURI, calledPrefix) {
+		w.runLong(h, name, id, out, r)
+		return
+	}
 	time.Sleep(time.Duration(5+hashID(id)%25) * time.Millisecond)
 	platformtest.Sign(out.Header(), name)
 	// Writing fails only if the client has disconnected.
