sidecar: do not wait for lost readers of the store before reading it

Cause: once both readers counted as lost, the next candidate waited 240 ms more, since the two come before it in the order and might be about to read. They were reading before, and would read already if they could.

Evidence: TestLostReadersAreNotAwaited failed before: the next candidate did not read when the readers counted as lost.

Why it works: a candidate that has read the store within the last seconds and does not any more is not counted among those ahead. The others still start one after the other.

--- a/core/mirror/election.go
+++ b/core/mirror/election.go
@@ -26,6 +26,9 @@
 	// Fresh is set when, as far as this daemon knows, the candidate has read the
 	// store recently.
 	Fresh bool
+	// Failed is set when the candidate was reading the store and has not read it
+	// recently. It would read already if it could.
+	Failed bool
 }
 
 // ReaderElection is the result of an election from the point of view of one daemon.
@@ -33,7 +36,7 @@
 	// Elected is set when fewer than targetReaders of the candidates ahead of this
 	// daemon are fresh.
 	Elected bool
-	// Ahead is the number of candidates that come first and are not fresh.
+	// Ahead is the number of candidates that come first and may be about to read.
 	Ahead int
 }
 
@@ -60,9 +63,10 @@
 		if !comesBefore(other, self, ranks) {
 			continue
 		}
-		if other.Fresh {
+		switch {
+		case other.Fresh:
 			fresh++
-		} else {
+		case !other.Failed:
 			election.Ahead++
 		}
 	}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -382,8 +382,10 @@
 	others := make([]mirror.Candidate, 0, len(m.received)+len(freshReaders))
 	for address := range m.received {
 		beacon := m.received[address]
+		fresh := slices.Contains(freshReaders, address)
+		_, hasRead := m.readers[address]
 		others = append(others, mirror.Candidate{
-			Address: address, Domain: beacon.Domain, Link: beacon.Link, Fresh: slices.Contains(freshReaders, address),
+			Address: address, Domain: beacon.Domain, Link: beacon.Link, Fresh: fresh, Failed: hasRead && !fresh,
 		})
 	}
 	for _, address := range freshReaders {
--- a/sidecar/members_test.go
+++ b/sidecar/members_test.go
@@ -93,3 +93,22 @@
 	is.Equal(len(m.recentReaders(0)), 1)
 	is.True(m.isReader())
 }
+
+// Guards against a daemon that waits for the lost readers of the store as for candidates
+// that may be about to read: a version came later by that time.
+func TestLostReadersAreNotAwaited(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	m := testMembers(&now)
+	for i := range 2 {
+		is.True(m.recordBeacon(&control.Beacon{
+			Address: fmt.Sprintf("10.0.0.%d:80", 2+i), Domain: id.Domain(fmt.Sprint("d", 1+i)), Link: 1 << 30, Incarnation: 1, Sequence: 1, Received: now,
+		}))
+	}
+	is.True(!m.isReader())
+	lostAt := now.Add(freshReaderAge + gossipDelay)
+	now = lostAt.Add(-time.Millisecond)
+	is.True(!m.isReader())
+	now = lostAt
+	is.True(m.isReader())
+}
