sidecar: log where the requests in progress at a stop come from

Cause: the lines of a stop gave one number. They could not tell whether clients' requests, calls or those of other daemons were at work when the process ended.

Change: `stopping`, `refusing new requests` and `stopped` count them by origin.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -131,7 +131,7 @@
 	// shutdown is the plan of the stop in progress; nil before one.
 	shutdown       atomic.Pointer[shutdown.Plan]
 	beaconSequence atomic.Uint64
-	activeRequests atomic.Int64
+	activeRequests activeRequests
 	// lastClientRequest is when a client last sent a request.
 	lastClientRequest atomic.Int64
 
@@ -376,8 +376,11 @@
 		if !isInternal {
 			d.lastClientRequest.Store(int64(d.now()))
 		}
-		d.activeRequests.Add(1)
-		defer d.activeRequests.Add(-1)
+		origin := shutdown.Client
+		if isInternal {
+			origin = shutdown.Call
+		}
+		defer d.activeRequests.begin(origin)()
 		return handler.Serve(ctx, r)
 	}
 }
@@ -390,8 +393,7 @@
 			handler.RefuseLeaving(w, r)
 			return
 		}
-		d.activeRequests.Add(1)
-		defer d.activeRequests.Add(-1)
+		defer d.activeRequests.begin(shutdown.Peer)()
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -28,15 +28,15 @@
 	plan := shutdown.NewPlan(began, d.settings.Load().StopGrace)
 	deadline := plan.EndsAt()
 	d.shutdown.Store(plan)
-	d.log.Info("stopping", zap.Int64("requests", d.activeRequests.Load()))
+	d.log.Info("stopping", d.activeRequests.fields()...)
 	for d.now().Before(plan.AcceptUntil()) && !d.clientsQuiet(plan) {
 		time.Sleep(stopPollInterval)
 	}
 	d.localBackend.SetLeaving()
 	d.gossip.Send(d.members.addresses(), d.readerPiggyback())
 	d.shutdown.Store(plan.RefuseNew(d.now()))
-	d.log.Info("refusing new requests", zap.Int64("requests", d.activeRequests.Load()))
-	for d.now().Before(deadline) && d.activeRequests.Load() > 0 {
+	d.log.Info("refusing new requests", d.activeRequests.fields()...)
+	for d.now().Before(deadline) && d.activeRequests.total() > 0 {
 		time.Sleep(stopPollInterval)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(stopPollInterval, deadline.Sub(d.now())))
@@ -56,7 +56,7 @@
 	}
 	draining.Wait()
 	err := errors.Join(s.control.Close(), s.readiness.Close(), s.metrics.Close(), s.beacons.Close())
-	d.log.Info("stopped", zap.Error(err), zap.Int64("requests", d.activeRequests.Load()), zap.Duration("took", d.now().Sub(began)))
+	d.log.Info("stopped", append(d.activeRequests.fields(), zap.Error(err), zap.Duration("took", d.now().Sub(began)))...)
 }
 
 // admit reports whether a request may begin or go on, and returns its deadline.
