--- a/sidecar/active_requests.go
+++ b/sidecar/active_requests.go
@@ -28,7 +28,8 @@
 
 // fields returns the counts as fields of a log line.
 func (a *activeRequests) fields() []zap.Field {
-	fields := []zap.Field{zap.Int64("requests", a.total())}
+	fields := make([]zap.Field, 0, 1+len(a))
+	fields = append(fields, zap.Int64("requests", a.total()))
 	for origin := range a {
 		fields = append(fields, zap.Int64(shutdown.Origin(origin).String(), a[origin].Load()))
 	}
