--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -133,6 +134,31 @@
 	is.Equal(refused.Outcome, refusal.Unknown)
 }
 
+// Guards against a deadline that is later by the time in which the body of a request has
+// arrived.
+func TestSlowBodyDoesNotExtendTheDeadline(t *testing.T) {
+	is := is.New(t)
+	local := &fakeBackend{response: &http1.Response{Status: http.StatusOK, Header: http.Header{}}}
+	now := handlerTime
+	handler := NewHandler(HandlerOptions{
+		Local: local, Lane: lane.New(link.New(0), 0), Now: func() id.Instant { return now },
+		Admit: func(work shutdown.Work) (id.Instant, bool) { return work.Deadline.Add(-100 * time.Millisecond), true },
+	})
+	body := readerFunc(func(p []byte) (int, error) {
+		now = now.Add(400 * time.Millisecond)
+		return copy(p, "order"), io.EOF
+	})
+	request := httptest.NewRequest(http.MethodPost, "/", body)
+	Call{Server: "i-1", Left: 700 * time.Millisecond}.write(request.Header)
+	handler.ServeHTTP(httptest.NewRecorder(), request)
+	is.Equal(local.call.Left, 200*time.Millisecond)
+}
+
+// readerFunc is an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // Guards against forwarding hop-by-hop or internal headers.
 func TestForwardable(t *testing.T) {
 	is := is.New(t)
