bench/soak: one place that sends a request and records the stop that it meets

Cause: the clients of short and of long requests repeated it. Change: sender and observe; no check or bound changed.

--- a/bench/soak/longwork.go
+++ b/bench/soak/longwork.go
@@ -16,8 +16,6 @@
 // that planned stops meet requests of all origins at work.
 
 const (
-	// longClientsPerHost is the number of clients of a host that send long requests.
-	longClientsPerHost = 2
 	// longTimeout is the timeout of long requests and of calls.
 	longTimeout = 5 * time.Second
 	// minLongWork and maxLongWork limit how long a backend server works on one.
@@ -47,47 +45,19 @@
 	callMark = ".from-"
 )
 
-// longClient sends long requests until the context ends.
-func (w *world) longClient(ctx context.Context, h *host, number int) {
-	kept := platformtest.NewClient(w.address(h.localIP, portCaller))
-	defer kept.Close()
-	keepsConnection := number%2 == 0
+// longClient sends long requests until the context ends, on one connection if
+// keepsConnection is set.
+func (w *world) longClient(ctx context.Context, h *host, keepsConnection bool) {
+	sender := w.newSender(h, keepsConnection)
+	defer sender.close()
 	for i := 0; ctx.Err() == nil; i++ {
-		one := call{id: fmt.Sprintf("%s.long%d-%d", h.name, number, i), target: longPrefix + "x", timeout: longTimeout}
-		w.observe(context.WithoutCancel(ctx), h, &one, func(ctx context.Context) (platformtest.Response, error) {
-			if keepsConnection {
-				reply, reused, err := kept.Call(ctx, http.MethodPost, one.target, one.id, one.timeout)
-				one.reused = reused
-				return reply, err
-			}
-			return platformtest.Call(ctx, w.address(h.localIP, portCaller), http.MethodPost, one.target, one.id, one.timeout, "")
-		})
+		one := call{id: fmt.Sprintf("%s.long-%t-%d", h.name, keepsConnection, i), target: longPrefix + "x", timeout: longTimeout}
+		w.observe(h, &one, longTimeout+responseSlack, sender, http.MethodPost)
+		w.recorder.recordCall(one)
 		sleep(ctx, longPause)
 	}
 }
 
-// observe sends a long request or a call to the host's daemon, and records it with the
-// stop that it meets.
-func (w *world) observe(ctx context.Context, h *host, one *call, send func(context.Context) (platformtest.Response, error)) platformtest.Response {
-	ctx, cancel := context.WithTimeout(ctx, one.timeout+responseSlack)
-	defer cancel()
-	one.began = time.Now()
-	stoppedBefore := h.stoppingSince()
-	reply, err := send(ctx)
-	w.recorder.known.record(h.name, &reply, time.Now())
-	one.duration, one.err = time.Since(one.began), err
-	one.status, one.body, one.signed = reply.Status, []byte(reply.Body), reply.Signature != ""
-	one.undisturbed = w.undisturbed(h, one.began)
-	one.stoppedAt = stoppedBefore
-	one.duringStop = !stoppedBefore.IsZero()
-	if !one.duringStop {
-		one.stoppedAt = h.stoppingSince()
-		one.stopping = !one.stoppedAt.IsZero()
-	}
-	w.recorder.recordCall(*one)
-	return reply
-}
-
 // runLong handles a long request or a call at a backend server. It stops work at the time
 // limit that the request states.
 func (w *world) runLong(h *host, name, id string, out http.ResponseWriter, r *http.Request) {
@@ -118,10 +88,9 @@
 // whether it succeeded.
 func (w *world) callFrom(h *host, parent string, timeout time.Duration) bool {
 	one := call{id: parent + callMark + h.name, target: calledPrefix + "x", timeout: min(timeout, longTimeout), isCall: true}
-	reply := w.observe(context.Background(), h, &one, func(ctx context.Context) (platformtest.Response, error) {
-		return platformtest.Call(ctx, w.address(h.localIP, portCaller), http.MethodPost, one.target, one.id, one.timeout, "")
-	})
-	return one.err == nil && reply.Status == http.StatusOK
+	w.observe(h, &one, one.timeout+responseSlack, w.newSender(h, false), http.MethodPost)
+	w.recorder.recordCall(one)
+	return one.err == nil && one.status == http.StatusOK
 }
 
 // mayBeCutOff reports whether the documented excuse holds for a call that a stop has met.
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -107,8 +107,8 @@
 			clients.Go(func() { w.probeVersions(ctx, h, options.Seed) })
 			continue
 		}
-		for j := range longClientsPerHost {
-			clients.Go(func() { w.longClient(ctx, h, j) })
+		for _, keepsConnection := range []bool{true, false} {
+			clients.Go(func() { w.longClient(ctx, h, keepsConnection) })
 		}
 	}
 	if options.Versions {
@@ -142,49 +142,28 @@
 // keepsConnection is set.
 func (w *world) client(ctx context.Context, h *host, keepsConnection bool) {
 	targets := []string{"/lookup/", "/order/", "/moved/"}
-	kept := platformtest.NewClient(w.address(h.localIP, portCaller))
-	defer kept.Close()
+	sender := w.newSender(h, keepsConnection)
+	defer sender.close()
 	pause := time.Duration(0)
 	if len(w.hosts) > len(services) {
 		pause = time.Second * time.Duration(clientsPerHost*len(w.hosts)) / maxCallRate
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		target := targets[i%len(targets)]
-		one := call{id: requestID(h.name, keepsConnection, i), target: target + "x", idempotent: target != "/order/", timeout: requestTimeout, began: time.Now()}
+		one := call{id: requestID(h.name, keepsConnection, i), target: target + "x", idempotent: target != "/order/", timeout: requestTimeout}
 		method := http.MethodGet
 		if !one.idempotent {
 			method = http.MethodPost
 		}
+		w.observe(h, &one, requestTimeout, sender, method)
 		if target == "/moved/" {
-			one.moved = map[string]bool{}
-		}
-		stoppedBefore := h.stoppingSince()
-		callContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
-		var reply platformtest.Response
-		var err error
-		if keepsConnection {
-			reply, one.reused, err = kept.Call(callContext, method, one.target, one.id, requestTimeout)
-		} else {
-			reply, err = platformtest.Call(callContext, w.address(h.localIP, portCaller), method, one.target, one.id, requestTimeout, "")
-		}
-		cancel()
-		w.recorder.known.record(h.name, &reply, time.Now())
-		one.duration, one.err = time.Since(one.began), err
-		one.status, one.body, one.signed = reply.Status, []byte(reply.Body), reply.Signature != ""
-		one.undisturbed = w.undisturbed(h, one.began)
-		one.stoppedAt, one.duringStop = stoppedBefore, !stoppedBefore.IsZero()
-		if !one.duringStop {
-			one.stoppedAt = h.stoppingSince()
-			one.stopping = !one.stoppedAt.IsZero()
-		}
-		if one.moved != nil {
 			one.moved = w.versions.services(w.versions.inForce(one.began, applyDeadline))
 			if !one.undisturbed {
 				one.moved[shop], one.moved[stock] = true, true
 			}
 		}
 		w.recorder.recordCall(one)
-		if err != nil || reply.Status != http.StatusOK {
+		if one.err != nil || one.status != http.StatusOK {
 			sleep(ctx, 20*time.Millisecond)
 		}
 		sleep(ctx, pause)
