cmd/marjoramsaddle-sidecar: scripts of stops leave time on a busy machine

Cause: some requests of the scripts were sent 50 to 130 ms before a time of the stop, and refused ones were sent while nothing kept the daemon listening. On a busy machine they would have come too late.

What each group must see is as before.

--- a/cmd/marjoramsaddle-sidecar/stop_test.go
+++ b/cmd/marjoramsaddle-sidecar/stop_test.go
@@ -17,7 +17,7 @@
 // end without a response while their backend servers are at work. Each script of
 // testdata/stops names the requests, and how they must end as their senders see it.
 //
-// The scripts begin with "play grace_ms=G [second_stop_ms=S] [other_stops_ms=T] [reload_grace_ms=R]":
+// The scripts begin with "play grace_ms=G [second_stop_ms=S] [other_stop_ms=T] [reload_grace_ms=R]":
 // SIGTERM to the daemon of host 0, which is killed after the grace period; at S another
 // SIGTERM, at T one to the daemon of host 1; R is the grace period that the settings file
 // has from a second after the first SIGTERM on. Each further line is a group of requests:
@@ -30,6 +30,9 @@
 // F milliseconds after the first SIGTERM on, and take W milliseconds at their backend
 // server, which stops work at its time limit unless ignores_limit is set. The body of a
 // request takes B milliseconds to arrive.
+//
+// Most scripts hold one request of 4.5 s, so that the daemon still listens when it
+// refuses the late ones, and requests on the route look, so that its clients are not quiet.
 func TestStops(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "sidecar")
 	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
--- a/core/shutdown/shutdown_test.go
+++ b/core/shutdown/shutdown_test.go
@@ -29,7 +29,7 @@
 			switch d.Cmd {
 			case "stop":
 				plan = NewPlan(began, at("grace_ms").Sub(began))
-				return fmt.Sprintf("noticed at %v, accepts until %v, ends at %v\n", plan.NoticedAt().Sub(began), plan.AcceptUntil().Sub(began).Round(time.Millisecond), plan.EndsAt().Sub(began))
+				return fmt.Sprintf("noticed at %v, accepts until %v, ends at %v\n", plan.NoticedAt().Sub(began).Round(time.Millisecond), plan.AcceptUntil().Sub(began).Round(time.Millisecond), plan.EndsAt().Sub(began))
 			case "refuse_new":
 				plan = plan.RefuseNew(at("at_ms"))
 				return ""
