sidecar, io/http1: close the listeners before the end of a stop

What callers saw: a request on a new connection, sent in the last moment of a stop, was read and ended without a response 0.206 s later; it was not passed on.

Cause: while a request was at work to the end of the grace, the daemon accepted connections until 0.02 s before its end, and until the end itself if they arrived less than 5 ms apart, because a listener that stops goes on as long as there are connections. Closing the listener for other daemons came first and could take all of the time.

Why it works: the listeners begin to close 0.4 s before the end, at the same time, and have closed 0.3 s before it at the latest. What has been accepted is read and refused in that time. Responses of requests at work still have it, too.

--- a/core/shutdown/shutdown.go
+++ b/core/shutdown/shutdown.go
@@ -49,6 +49,9 @@
 	acceptShare = 0.58
 	// stopMargin is the time left before the platform kills the process.
 	stopMargin = 200 * time.Millisecond
+	// closingTime is the time for closing the listeners and for responding to the requests
+	// that have arrived on them until then.
+	closingTime = 400 * time.Millisecond
 	// responseMargin is the time for a response that the backend server sends at the
 	// deadline to reach the sender of the request.
 	responseMargin = 150 * time.Millisecond
@@ -92,6 +95,9 @@
 // AcceptUntil returns when new requests are refused at the latest.
 func (p *Plan) AcceptUntil() id.Instant { return p.acceptUntil }
 
+// CloseAt returns when the listeners begin to close at the latest.
+func (p *Plan) CloseAt() id.Instant { return p.endsAt.Add(-closingTime) }
+
 // EndsAt returns when the process ends at the latest.
 func (p *Plan) EndsAt() id.Instant { return p.endsAt }
 
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -30,6 +30,9 @@
 	// accepted connections. On a busy host, part of it passes before the reading
 	// goroutine runs.
 	shutdownReadTimeout = 250 * time.Millisecond
+	// lastResponseTime is the time that Shutdown keeps, after the listeners have closed at
+	// the latest, for reading the requests on accepted connections and responding to them.
+	lastResponseTime = shutdownReadTimeout + 50*time.Millisecond
 	// lingerTimeout and maxLingerBytes limit how much of a rejected request is read
 	// and discarded after its response. net/http waits as long.
 	lingerTimeout  = 500 * time.Millisecond
@@ -180,8 +183,14 @@
 }
 
 // drainListeners lets Serve accept the connections in the kernel's accept queue,
-// closes the listeners and waits until Serve has returned.
+// closes the listeners and waits until Serve has returned. It ends lastResponseTime before
+// the context's deadline, even if clients still connect.
 func (s *Server) drainListeners(ctx context.Context) {
+	if deadline, found := ctx.Deadline(); found {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-lastResponseTime))
+		defer cancel()
+	}
 	s.mu.Lock()
 	s.stopAccepting.Store(true)
 	listeners := s.listeners
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -26,7 +27,6 @@
 func (d *Daemon) stop(s *servers) {
 	began := d.now()
 	plan := shutdown.NewPlan(began, d.settings.Load().StopGrace)
-	deadline := plan.EndsAt()
 	d.shutdown.Store(plan)
 	d.log.Info("stopping", d.activeRequests.fields()...)
 	for d.now().Before(plan.AcceptUntil()) && !d.clientsQuiet(plan) {
@@ -36,20 +36,15 @@
 	d.gossip.Send(d.members.addresses(), d.readerPiggyback())
 	d.shutdown.Store(plan.RefuseNew(d.now()))
 	d.log.Info("refusing new requests", d.activeRequests.fields()...)
-	for d.now().Before(deadline) && d.activeRequests.total() > 0 {
+	for d.now().Before(plan.CloseAt()) && d.activeRequests.total() > 0 {
 		time.Sleep(stopPollInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(stopPollInterval, deadline.Sub(d.now())))
+	ctx, cancel := context.WithTimeout(context.Background(), max(stopPollInterval, plan.EndsAt().Sub(d.now())))
 	defer cancel()
-	if err := d.listeners[s.hops].Stop(ctx); err != nil {
-		d.log.Warn("failed to close the connections of other daemons gracefully; some may have been reset", zap.Error(err))
-	}
 	var draining sync.WaitGroup
-	for _, server := range []interface {
-		Shutdown(ctx context.Context) error
-	}{s.callers, s.hops} {
+	for _, shutdown := range []func(context.Context) error{s.callers.Shutdown, func(ctx context.Context) error { return d.shutdownHops(ctx, s.hops) }} {
 		draining.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
+			if err := shutdown(ctx); err != nil {
 				d.log.Warn("requests still in progress at the end of the grace period", zap.Error(err))
 			}
 		})
@@ -59,6 +54,18 @@
 	d.log.Info("stopped", append(d.activeRequests.fields(), zap.Error(err), zap.Duration("took", d.now().Sub(began)))...)
 }
 
+// shutdownHops closes the listener for other daemons, in half of the context's time at
+// most, and waits for their requests.
+func (d *Daemon) shutdownHops(ctx context.Context, hops *http.Server) error {
+	deadline, _ := ctx.Deadline()
+	accepting, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
+	defer cancel()
+	if err := d.listeners[hops].Stop(accepting); err != nil {
+		d.log.Warn("failed to close the connections of other daemons gracefully; some may have been reset", zap.Error(err))
+	}
+	return hops.Shutdown(ctx)
+}
+
 // admit reports whether a request may begin or go on, and returns its deadline.
 func (d *Daemon) admit(work shutdown.Work) (id.Instant, bool) {
 	return d.shutdown.Load().Admit(work, d.now())
