--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -69,7 +69,7 @@
 		}
 		t.Run(fmt.Sprintf("seed %s %s", fields[0], fields[2]), func(t *testing.T) {
 			t.Parallel()
-			options.Folder = t.TempDir()
+			options.Folder = logFolder(t)
 			report, err := Run(context.Background(), options)
 			if err != nil {
 				t.Fatal(err)
@@ -81,6 +81,25 @@
 	}
 }
 
+// logFolder returns a folder for the logs of a run. It is kept if the test fails.
+func logFolder(t *testing.T) string {
+	t.Helper()
+	folder, err := os.MkdirTemp("", "marjoramsaddle-seed-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the logs of the daemons are in %s", folder)
+			return
+		}
+		if err := os.RemoveAll(folder); err != nil {
+			t.Error(err)
+		}
+	})
+	return folder
+}
+
 // Guards against soak tests that pass because their checks miss violations.
 func TestViolationsAreDetected(t *testing.T) {
 	ok := call{id: "a", target: "/order/x", status: 200, signed: true, body: responseBody("a")}
