--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -29,7 +29,8 @@
 	// Admit reports whether a request may begin while this process is stopping, and
 	// returns its deadline.
 	Admit func(work shutdown.Work) (id.Instant, bool)
-	Now   func() id.Instant
+	// Now returns the current time of the clock on which deadlines are stored.
+	Now func() id.Instant
 }
 
 // Handler serves requests from other daemons.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -26,6 +26,8 @@
 // refused while those in progress finish.
 func (d *Daemon) stop(s *servers) {
 	began := d.now()
+	// The platform kills the process when the grace period of this signal has passed. A
+	// reload does not change that.
 	plan := shutdown.NewPlan(began, d.settings.Load().StopGrace)
 	d.shutdown.Store(plan)
 	d.log.Info("stopping", d.activeRequests.fields()...)
@@ -42,9 +44,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), max(stopPollInterval, plan.EndsAt().Sub(d.now())))
 	defer cancel()
 	var draining sync.WaitGroup
-	for _, shutdown := range []func(context.Context) error{s.callers.Shutdown, func(ctx context.Context) error { return d.shutdownHops(ctx, s.hops) }} {
+	for _, finish := range []func(context.Context) error{s.callers.Shutdown, func(ctx context.Context) error { return d.shutdownHops(ctx, s.hops) }} {
 		draining.Go(func() {
-			if err := shutdown(ctx); err != nil {
+			if err := finish(ctx); err != nil {
 				d.log.Warn("requests still in progress at the end of the grace period", zap.Error(err))
 			}
 		})
