cmd/marjoramsaddle-sidecar: name the parts of the stop scripts

Cause: the test built targets and names of groups in several places. Change: a group has its name, its target and the target of the request that makes a call. No check changed.

--- a/cmd/marjoramsaddle-sidecar/stop_fleet_test.go
+++ b/cmd/marjoramsaddle-sidecar/stop_fleet_test.go
@@ -76,8 +76,10 @@
 	// calls waits for the calls that backend servers make.
 	calls sync.WaitGroup
 
-	mu      sync.Mutex
-	ran     map[string]bool
+	mu sync.Mutex
+	// ran holds the IDs of the requests that a backend server has begun to run.
+	ran map[string]bool
+	// tallies holds how the requests of each group ended, by the group's name.
 	tallies map[string]*tally
 }
 
@@ -94,9 +96,10 @@
 	p.stoppedAt = time.Now().Add(parentLead)
 	var senders, stops sync.WaitGroup
 	for n, g := range p.groups {
-		p.tallies[g.kind+strconv.Itoa(n)] = &tally{}
+		g.name = g.kind + strconv.Itoa(n)
+		p.tallies[g.name] = &tally{}
 		for i := range g.count {
-			senders.Go(func() { p.send(ctx, g, n, i) })
+			senders.Go(func() { p.send(ctx, g, i) })
 		}
 	}
 	p.stopHosts(ctx, &stops)
@@ -104,8 +107,8 @@
 	stops.Wait()
 	p.calls.Wait()
 	var report strings.Builder
-	for n, g := range p.groups {
-		fmt.Fprintf(&report, "%s: %v\n", g.kind, p.tallies[g.kind+strconv.Itoa(n)])
+	for _, g := range p.groups {
+		fmt.Fprintf(&report, "%s: %v\n", g.kind, p.tallies[g.name])
 	}
 	return report.String()
 }
@@ -264,24 +267,24 @@
 	}
 }
 
-// send sends request i of group n at its time and counts how it ended. Calls are counted
-// by the backend server that makes them.
-func (p *play) send(ctx context.Context, g *group, n, i int) {
-	id := fmt.Sprintf("%s%d-%03d", g.kind, n, i)
-	target, timeout := g.target(i), routeTimeout
-	at, from := p.stoppedAt.Add(g.sentAt(i)), p.hosts[0]
-	switch g.kind {
-	case "call":
-		target, timeout, at = "/long/call?"+strings.SplitN(target, "?", 2)[1]+"&route="+g.route, longTimeout, p.stoppedAt.Add(-parentLead)
-	case "peer":
+// send sends request i of the group at its time and counts how it ended. For a call it
+// sends the request that makes the call; the backend server counts how the call ended.
+func (p *play) send(ctx context.Context, g *group, i int) {
+	id := fmt.Sprintf("%s-%03d", g.name, i)
+	if g.kind == "call" {
+		sleepUntil(ctx, p.stoppedAt.Add(-parentLead))
+		// Its own end does not matter: the stop may cut it off.
+		_, _ = p.sendRequest(ctx, p.address(p.hosts[0], portCaller), g.parentTarget(i), id, longTimeout, 0)
+		return
+	}
+	from := p.hosts[0]
+	if g.kind == "peer" {
 		from = p.hosts[1]
 	}
-	sleepUntil(ctx, at)
+	sleepUntil(ctx, p.stoppedAt.Add(g.sentAt(i)))
 	began := time.Now()
-	reply, err := p.sendRequest(ctx, p.address(from, portCaller), target, id, timeout, g.body)
-	if g.kind != "call" {
-		p.count(g.kind+strconv.Itoa(n), id, result{reply.Status, err, time.Since(began)})
-	}
+	reply, err := p.sendRequest(ctx, p.address(from, portCaller), g.target(), id, routeTimeout, g.body)
+	p.count(g.name, id, result{reply.Status, err, time.Since(began)})
 }
 
 // sendRequest sends a request whose body takes the given time to arrive.
@@ -292,6 +295,7 @@
 	return platformtest.CallSlowly(ctx, address, target, id, timeout, body)
 }
 
+// count adds the result of a request to the group's tally.
 func (p *play) count(group, id string, of result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -331,6 +335,7 @@
 	sleepUntil(r.Context(), p.stoppedAt.Add(queryTime(r, "at_ms")))
 	query := r.URL.Query()
 	target := fmt.Sprintf("/%s/called?takes_ms=%s&ignores_limit=%s", query.Get("route"), query.Get("takes_ms"), query.Get("ignores_limit"))
+	// A daemon takes a request for a call if its ID begins with that of one that runs.
 	id := parent + ".1"
 	began := time.Now()
 	reply, err := platformtest.Call(context.Background(), p.address(h, portCaller), http.MethodPost, target, id, routeTimeout, "order")
--- a/cmd/marjoramsaddle-sidecar/stop_test.go
+++ b/cmd/marjoramsaddle-sidecar/stop_test.go
@@ -70,7 +70,8 @@
 
 // group is a number of requests of one kind that are sent in a series.
 type group struct {
-	text, kind, route  string
+	// name is unique in the script.
+	name, kind, route  string
 	from, every, takes time.Duration
 	body               time.Duration
 	ignoresLimit       bool
@@ -79,7 +80,7 @@
 
 func parseGroup(t *testing.T, line string) *group {
 	t.Helper()
-	g := &group{text: strings.TrimSpace(line), count: 1}
+	g := &group{count: 1}
 	for i, field := range strings.Fields(line) {
 		name, value, _ := strings.Cut(field, "=")
 		var number int
@@ -113,14 +114,19 @@
 // sentAt returns when request i of the group is sent, relative to the first SIGTERM.
 func (g *group) sentAt(i int) time.Duration { return g.from + time.Duration(i)*g.every }
 
-// target returns the path of a request. It tells the backend server what to do.
-func (g *group) target(i int) string {
-	work := fmt.Sprintf("/%s/%s?takes_ms=%d&ignores_limit=%t", g.route, g.kind, g.takes.Milliseconds(), g.ignoresLimit)
-	if g.kind == "call" {
-		// The backend server that makes the call reads when it does so.
-		work += fmt.Sprintf("&at_ms=%d", g.sentAt(i).Milliseconds())
-	}
-	return work
+// target returns the path of a request, which tells the backend server how to run it.
+func (g *group) target() string {
+	return fmt.Sprintf("/%s/%s?%s", g.route, g.kind, g.work())
+}
+
+// parentTarget returns the path of the request that makes call i. It tells the backend
+// server when to make the call, and how it is run.
+func (g *group) parentTarget(i int) string {
+	return fmt.Sprintf("/long/parent?at_ms=%d&route=%s&%s", g.sentAt(i).Milliseconds(), g.route, g.work())
+}
+
+func (g *group) work() string {
+	return fmt.Sprintf("takes_ms=%d&ignores_limit=%t", g.takes.Milliseconds(), g.ignoresLimit)
 }
 
 // tally counts how the requests of a group ended.
