sidecar: a daemon catches up over a link at which packets wait

Beacons told it that it was behind; each connection for the changes was given up after 250 ms, before it was established. It asked others all the time, each on a new connection.

TestChangesArriveOverABusyLink failed before (dial: i/o timeout).

Why it works: connections for changes have a pool of their own and 600 ms to be established.

Result: the tests of io/http1, io/control and sidecar pass.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -123,6 +123,9 @@
 	// TCPUserTimeout limits how long sent data may stay unacknowledged before the
 	// connection fails (TCP_USER_TIMEOUT). It detects cut links. Zero sets none.
 	TCPUserTimeout time.Duration
+	// DialControl is called before each connection is opened, like the Control field of
+	// net.Dialer. It may be nil.
+	DialControl func(network, address string, conn syscall.RawConn) error
 	// OnDial is called after each new connection. It may be nil.
 	OnDial func(address string)
 }
@@ -160,21 +163,27 @@
 		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: -1},
 		idle:    map[string][]*clientConn{},
 	}
-	if options.TCPUserTimeout > 0 {
-		pool.dialer.Control = setTCPUserTimeout(options.TCPUserTimeout)
+	pool.dialer.Control = func(network, address string, conn syscall.RawConn) error {
+		if options.DialControl != nil {
+			if err := options.DialControl(network, address, conn); err != nil {
+				return err
+			}
+		}
+		if options.TCPUserTimeout <= 0 {
+			return nil
+		}
+		return setTCPUserTimeout(conn, options.TCPUserTimeout)
 	}
 	return pool
 }
 
-// setTCPUserTimeout returns a dialer control function that sets TCP_USER_TIMEOUT.
-func setTCPUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var sockoptErr error
-		err := raw.Control(func(fd uintptr) {
-			sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		return errors.Join(err, sockoptErr)
-	}
+// setTCPUserTimeout sets TCP_USER_TIMEOUT.
+func setTCPUserTimeout(conn syscall.RawConn, timeout time.Duration) error {
+	var sockoptErr error
+	err := conn.Control(func(fd uintptr) {
+		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, sockoptErr)
 }
 
 // EchoHeader returns a handler that copies the header field from each request to
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -110,7 +110,7 @@
 	})
 	if ctx.Err() != nil && one.err != nil && !begun {
 		// Another daemon was faster. The idle connections to this one may be as silent.
-		d.hopPool.CloseIdleTo(one.address)
+		d.controlPool.CloseIdleTo(one.address)
 	}
 	select {
 	case ended <- one:
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -213,6 +213,7 @@
 		if time.Now().After(nextHousekeeping) {
 			nextHousekeeping = time.Now().Add(housekeepingInterval)
 			d.hopPool.CloseExpired()
+			d.controlPool.CloseExpired()
 			d.backendPool.CloseExpired()
 			d.requestLogger.logSuppressed()
 		}
--- a/sidecar/pause.go
+++ b/sidecar/pause.go
@@ -44,6 +44,7 @@
 func (d *Daemon) resumeAfterPause(paused time.Duration) {
 	d.log.Warn("woke from a pause", zap.Duration("paused", paused), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 	d.hopPool.CloseIdle()
+	d.controlPool.CloseIdle()
 	d.backendPool.CloseIdle()
 	d.store.Disconnect()
 	d.relistRequested.Store(true)
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -164,3 +166,23 @@
 
 // applyDeadline is the documented time within which a version takes effect.
 const applyDeadline = 2 * time.Second
+
+// Guards against a daemon that never catches up because packets wait at its link: beacons
+// tell it that it is behind, and each connection for the changes is given up before it is
+// established.
+func TestChangesArriveOverABusyLink(t *testing.T) {
+	is := is.New(t)
+	// Links at which packets wait up to half a second excuse no host.
+	const linkWait = 500 * time.Millisecond
+	f := newFleet(t)
+	peer := f.newScriptedPeer(false)
+	peer.hold(10, "r1", platformtest.Route("kept", "/kept/", "safe", "counter", time.Second, 1))
+	pool := newControlPool(func(string, string, syscall.RawConn) error {
+		time.Sleep(linkWait)
+		return nil
+	})
+	t.Cleanup(pool.CloseIdle)
+	changes, _, err := control.NewClient(pool).Changes(context.Background(), peer.address, control.Query{NewConn: true, OnResponse: func() {}})
+	is.NoErr(err)
+	is.Equal(changes.AsOf, mirror.Revision(10))
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,6 +53,10 @@
 	// hopDialTimeout bounds connecting to another daemon. Failure domains are a few
 	// milliseconds apart; a host that is cut off does not respond at all.
 	hopDialTimeout = 250 * time.Millisecond
+	// controlDialTimeout bounds connecting to another daemon for its changes. Packets may
+	// wait half a second at the link of a busy host, which must still catch up; others are
+	// asked meanwhile.
+	controlDialTimeout = 600 * time.Millisecond
 	// hopSendTimeout detects links that are cut. A lost packet is retransmitted after
 	// about 200 ms, and again 400 ms later.
 	hopSendTimeout = 650 * time.Millisecond
@@ -98,6 +103,7 @@
 	chooser      *placement.Chooser
 	localBackend *server.Server
 	hopPool      *http1.Pool
+	controlPool  *http1.Pool
 	backendPool  *http1.Pool
 	relay        *relay.Client
 	lane         *lane.Pacer
@@ -167,6 +173,7 @@
 		DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout, MaxBodyBytes: maxResponseBytes, TCPUserTimeout: hopSendTimeout,
 		ExchangeField: relay.ExchangeHeader,
 	})
+	d.controlPool = newControlPool(nil)
 	d.backendPool = http1.NewPool(http1.PoolOptions{
 		DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, MaxBodyBytes: maxResponseBytes,
 		RequestID: headers.RequestID,
@@ -187,13 +194,21 @@
 		Responded: d.recordResponse, LimitLearned: d.adoptLimit, Admit: d.admit,
 	})
 	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
-	d.peerClient = control.NewClient(d.hopPool)
+	d.peerClient = control.NewClient(d.controlPool)
 	d.members = newMembers(settings, d.now)
 	d.retryBudget = retry.NewFleetBudget(d.retryLimits)
 	d.storeState = newStoreState(d)
 	return d, d.registerBackendGauges()
 }
 
+// newControlPool returns the pool of connections for the changes of other daemons.
+func newControlPool(dialControl func(network, address string, conn syscall.RawConn) error) *http1.Pool {
+	return http1.NewPool(http1.PoolOptions{
+		DialTimeout: controlDialTimeout, IdleTimeout: hopIdleTimeout, MaxBodyBytes: maxResponseBytes, TCPUserTimeout: hopSendTimeout,
+		ExchangeField: relay.ExchangeHeader, DialControl: dialControl,
+	})
+}
+
 // seed returns a random seed that differs between daemons.
 func (d *Daemon) seed() uint64 { return xxhash.Sum64String(d.settings.Load().IP) }
 
