--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -18,8 +18,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/link"
 )
@@ -177,15 +175,6 @@
 	return pool
 }
 
-// setTCPUserTimeout sets TCP_USER_TIMEOUT.
-func setTCPUserTimeout(conn syscall.RawConn, timeout time.Duration) error {
-	var sockoptErr error
-	err := conn.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	return errors.Join(err, sockoptErr)
-}
-
 // EchoHeader returns a handler that copies the header field from each request to
 // its response and calls the given handler.
 func EchoHeader(field string, handler http.Handler) http.Handler {
