io/http1: a read that has failed at its deadline fails until another one is set

What callers saw: a client whose header took too long got 400 instead of 408. 408 promises that the request has not run and may be sent again; 400 is not sent again.

Cause: net/textproto reads lines through a bufio.Reader, which returns a part of a line without the error that ended it. The next read of the connection returned data that had arrived after the deadline, which was taken for a line of its own, without a colon.

Why it works: the error stays until the deadline is set again, as with the connections of net, so the second read fails as well and the header counts as late.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -38,6 +38,8 @@
 	buffer   []byte
 	err      error
 	deadline time.Time
+	// expired is set once Read has failed at the deadline, until another one is set.
+	expired bool
 	// changed is closed and replaced whenever one of the fields above changes.
 	changed chan struct{}
 	// done is the channel that Done returns.
@@ -105,10 +107,16 @@
 	c.changed = make(chan struct{})
 }
 
-// Read returns buffered data, or waits for some until the read deadline.
+// Read returns buffered data, or waits for some until the read deadline. Once it has
+// failed at the deadline it fails until another one is set, because a buffering reader
+// may drop the first error and take later data for the rest of what it has read.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
+		if c.expired {
+			c.mu.Unlock()
+			return 0, os.ErrDeadlineExceeded
+		}
 		if len(c.buffer) > 0 {
 			n := copy(p, c.buffer)
 			c.consume(n)
@@ -122,12 +130,21 @@
 		}
 		changed, deadline := c.changed, c.deadline
 		c.mu.Unlock()
-		if err := waitForChange(changed, deadline); err != nil {
-			return 0, err
+		if waitForChange(changed, deadline) != nil {
+			c.expire(deadline)
 		}
 	}
 }
 
+// expire records that Read has failed at the deadline, unless that was changed meanwhile.
+func (c *Conn) expire(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline.Equal(deadline) {
+		c.expired = true
+	}
+}
+
 // consume drops n bytes from the buffer. It wakes the read loop only if that was
 // blocked on a full buffer.
 func (c *Conn) consume(n int) {
@@ -167,7 +184,7 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.deadline = deadline
+	c.deadline, c.expired = deadline, false
 	c.broadcast()
 	return nil
 }
