core, sidecar: take evacuated failure domains out of service

Cause: the operators' evacuation of a failure domain was served nowhere: requests kept reaching its backend servers. Ruled out: treating the servers as draining, which operators could not tell from servers that leave; dropping their entries, which would drop what is known of them. Before: TestEvacuatedDomainGetsNothing and TestAllDomainsEvacuated fail without the check in placement and io/server. After: both pass; the daemon beside a server refuses also what senders without the change send it.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -57,6 +57,8 @@
 	ColdLeft time.Duration
 	// ColdUntil is when the server stops being slow, on this daemon's clock.
 	ColdUntil id.Instant
+	// Evacuated is set while the operators have taken its failure domain out of service.
+	Evacuated bool
 }
 
 // Process identifies one process of a backend server.
@@ -65,6 +67,9 @@
 	Born id.Instant
 }
 
+// AcceptsNew reports whether the server may receive new requests.
+func (s *Server) AcceptsNew() bool { return s.State == Ready && !s.Evacuated }
+
 // Process returns the process that the entry describes.
 func (s *Server) Process() Process { return Process{ID: s.ID, Born: s.Born} }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -174,7 +174,7 @@
 		state.server, state.inGroup = *server, false
 		state.domainLatestReport = c.latestReportOf(server.Domain)
 		c.servers[server.ID] = state
-		if server.State == backend.Ready {
+		if server.AcceptsNew() {
 			c.groupOf(server.Service, former).add(state, server.Domain == c.domain)
 		}
 	}
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -48,6 +48,10 @@
 	CallerGone                      // caller_gone
 	LinkBusy                        // link_busy
 	ServerLimited                   // server_limited
+	ServerCold                      // server_cold
+	Evacuated                       // evacuated
+	CallsRefused                    // calls_refused
+	MemoryFull                      // memory_full
 	reasonCount                     // end
 )
 
--- a/core/refusal/remedy.go
+++ b/core/refusal/remedy.go
@@ -27,6 +27,10 @@
 	CallerGone:        "none is needed",
 	LinkBusy:          "retry later or give the host a faster link",
 	ServerLimited:     "retry later or add backend servers",
+	ServerCold:        "retry later or add backend servers",
+	Evacuated:         "retry on another host or end the evacuation",
+	CallsRefused:      "retry later or add backend servers to the called service",
+	MemoryFull:        "retry later or give the host more memory",
 }
 
 // Remedy returns what the caller or operator can do about the refusal.
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -176,7 +176,7 @@
 	}
 	report.Server, report.Slots = current.ID, current.Slots
 	report.LinkWait, report.TransferTime = s.options.Link.Wait(), s.options.Link.TransferTime()
-	report.Leaving = report.Leaving || current.State == backend.Draining
+	report.Leaving = report.Leaving || !current.AcceptsNew()
 	s.mu.Lock()
 	report.Service = max(s.service.mean, s.inProgress.meanAge(report.At))
 	report.FailureRate = s.failures.Value(report.At)
@@ -328,7 +328,7 @@
 }
 
 // checkServer returns a refusal unless the wanted backend server is listed and
-// accepts requests.
+// accepts new requests.
 func (s *Server) checkServer(wanted backend.ID) *refusal.Error {
 	current := s.current.Load()
 	switch {
@@ -336,6 +336,8 @@
 		return refusal.New(refusal.NoEndpoint, refusal.NotRun)
 	case current.State == backend.Draining:
 		return refusal.New(refusal.Leaving, refusal.NotRun)
+	case current.Evacuated:
+		return refusal.New(refusal.Evacuated, refusal.NotRun)
 	}
 	return nil
 }
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -36,11 +36,15 @@
 
 	mu      sync.Mutex
 	servers *backend.Table
+	// evacuated holds the failure domains that the operators have taken out of service.
+	evacuated map[id.Domain]struct{}
 	// lapseWindowEnd is when deleted entries no longer count as lapsed.
 	lapseWindowEnd id.Instant
 }
 
-func newStoreState(d *Daemon) *storeState { return &storeState{d: d, servers: backend.NewTable()} }
+func newStoreState(d *Daemon) *storeState {
+	return &storeState{d: d, servers: backend.NewTable(), evacuated: map[id.Domain]struct{}{}}
+}
 
 // apply applies changes in the order of their revisions.
 func (s *storeState) apply(items []mirror.Item) {
@@ -58,6 +62,10 @@
 				table = s.newerConfiguration(table, &items[i])
 				return nil
 			}
+			if domain, found := s.decoder.EvacuatedDomain(items[i].Key); found {
+				s.setEvacuated(domain, &items[i])
+				return nil
+			}
 			s.applyServer(&items[i], now)
 			return nil
 		})
@@ -107,6 +115,22 @@
 	}
 }
 
+// setEvacuated applies the start or the end of an evacuation.
+func (s *storeState) setEvacuated(domain id.Domain, item *mirror.Item) {
+	if _, evacuated := s.evacuated[domain]; evacuated != item.Deleted {
+		return
+	}
+	message, change := "failure domain evacuated", "started"
+	if item.Deleted {
+		message, change = "failure domain back in service", "ended"
+		delete(s.evacuated, domain)
+	} else {
+		s.evacuated[domain] = struct{}{}
+	}
+	s.d.metrics.Control("evacuation", change)
+	s.d.log.Info(message, zap.String("domain", string(domain)), zap.Uint64("revision", uint64(item.Revision)))
+}
+
 // newerConfiguration returns the configuration of the item if it is valid and newer
 // than the previous one, otherwise the previous one.
 func (s *storeState) newerConfiguration(previous *route.Table, item *mirror.Item) *route.Table {
@@ -153,11 +177,13 @@
 	all := slices.DeleteFunc(s.servers.All(), func(server backend.Server) bool { return !isUsable(&server) })
 	for i := range all {
 		s.applyLeaving(&all[i])
+		s.applyEvacuation(&all[i])
 	}
 	s.d.chooser.SetServers(all)
 	s.d.members.setServers(all)
 	local, listed := s.servers.ByAddress(s.d.settings.Load().BackendAddress, isUsable)
 	s.applyLeaving(&local)
+	s.applyEvacuation(&local)
 	s.d.localBackend.SetCurrent(local, listed)
 	s.d.applyLimit()
 }
@@ -168,6 +194,10 @@
 	}
 }
 
+func (s *storeState) applyEvacuation(server *backend.Server) {
+	_, server.Evacuated = s.evacuated[server.Domain]
+}
+
 // expireServers removes lapsed entries that have not returned.
 func (s *storeState) expireServers() {
 	s.mu.Lock()
