--- a/core/id/id.go
+++ b/core/id/id.go
@@ -38,6 +38,9 @@
 // of the process in Unix nanoseconds.
 type Incarnation uint64
 
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
 // Instant is a point in time in Unix nanoseconds. Deadlines are instants, too.
 type Instant int64
 
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -63,6 +63,13 @@
 type Service struct {
 	// Connections is the number of connections that a backend server accepts.
 	Connections int
+	// ColdStart is how long a backend server stays cold after its start.
+	ColdStart time.Duration
+	// ColdRate is the rate of requests that a cold backend server tolerates. Zero means
+	// that cold backend servers are treated like others.
+	ColdRate id.RequestRate
+	// HealthPath is the path of the health check of a backend server.
+	HealthPath string
 }
 
 // Limits bounds the size and the duration of a client's requests. Zero means that the
