core/admission, core/placement, io: a rate for cold backend servers

Cause: nothing bounded the rate of requests at a cold backend server, and other hosts did not know its capacity. Ruled out: one limiter for announced limits and the cold rate: the two end at different times, and a call is refused for another reason. Before: a gate with free slots grants any number of requests per second to a cold server.

--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -65,6 +65,7 @@
 	startedAt       id.Instant
 	queue           queue
 	limiter         limiter
+	cold            coldLimiter
 	running         int
 	grants          uint64
 	latest          id.Instant
@@ -106,7 +107,9 @@
 	gate *Gate
 	// GrantedAt is when the slot was granted.
 	GrantedAt id.Instant
-	released  atomic.Bool
+	// check is set for a health check, which is no sample of the service time.
+	check    bool
+	released atomic.Bool
 }
 
 // Release returns the slot. Further calls have no effect.
@@ -124,13 +127,27 @@
 
 // AcquireRank is Acquire for a call that is queued by rank instead of class.
 func (g *Gate) AcquireRank(ctx context.Context, now id.Instant, rank Rank, deadline, queueDeadline id.Instant) (*Ticket, *refusal.Error) {
+	return g.AcquireWork(ctx, now, Work{Rank: rank, Deadline: deadline, QueueDeadline: queueDeadline})
+}
+
+// Work is a call that waits for a slot.
+type Work struct {
+	Rank Rank
+	// Call is set for a call of a running request.
+	Call          bool
+	Deadline      id.Instant
+	QueueDeadline id.Instant
+}
+
+// AcquireWork is Acquire for the given work.
+func (g *Gate) AcquireWork(ctx context.Context, now id.Instant, work Work) (*Ticket, *refusal.Error) {
 	if err := ctx.Err(); err != nil {
 		return nil, contextRefusal(err)
 	}
-	ticket, waiting, reason := g.tryAcquireRank(now, rank, deadline, queueDeadline)
+	ticket, waiting, reason := g.tryAcquireWork(now, work)
 	switch {
 	case reason != refusal.None:
-		return nil, refusal.New(reason, refusal.NotRun)
+		return nil, &refusal.Error{Reason: reason, Outcome: refusal.NotRun, RetryAfter: g.retryAfter(reason, work)}
 	case ticket != nil:
 		return ticket, nil
 	}
@@ -168,9 +185,9 @@
 	if first == nil {
 		return 0
 	}
-	next := min(first.queueDeadline, first.deadline)
-	if g.running < g.capacity() && !g.limiter.allows() {
-		next = min(next, g.latest.Add(g.limiter.wait(1)))
+	next := min(first.QueueDeadline, first.Deadline)
+	if g.running < g.capacity() && !g.canGrant() {
+		next = min(next, g.latest.Add(max(g.limiter.wait(1), g.coldWait(1))))
 	}
 	return next
 }
@@ -255,29 +272,34 @@
 	return g.tryAcquireRank(now, classRank(class), deadline, queueDeadline)
 }
 
-// tryAcquireRank returns a ticket, a queued waiter or the reason of a refusal.
 func (g *Gate) tryAcquireRank(now id.Instant, rank Rank, deadline, queueDeadline id.Instant) (*Ticket, *waiter, refusal.Reason) {
+	return g.tryAcquireWork(now, Work{Rank: rank, Deadline: deadline, QueueDeadline: queueDeadline})
+}
+
+// tryAcquireWork returns a ticket, a queued waiter or the reason of a refusal.
+func (g *Gate) tryAcquireWork(now id.Instant, work Work) (*Ticket, *waiter, refusal.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advanceClock(now)
 	switch {
 	case g.draining:
 		return nil, nil, refusal.Leaving
-	case !now.Before(deadline):
+	case !now.Before(work.Deadline):
 		return nil, nil, refusal.DeadlinePassed
 	}
 	g.dispatch()
 	if g.queue.total == 0 && g.canGrant() {
-		return g.grant(), nil, refusal.None
+		return g.grant(work.Rank), nil, refusal.None
 	}
-	queued := &waiter{rank: rank, deadline: deadline, queueDeadline: queueDeadline, done: make(chan struct{})}
+	queued := &waiter{Work: work, done: make(chan struct{})}
 	if reason := g.lateReason(queued); reason != refusal.None {
 		return nil, nil, reason
 	}
-	if g.queue.total >= g.queueLength && !g.evictBelow(rank) {
+	if g.queue.total >= g.queueLength && !g.evictBelow(work.Rank) {
 		return nil, nil, refusal.QueueFull
 	}
 	g.queue.push(queued)
+	g.refuseDisplaced()
 	select {
 	case g.queued <- struct{}{}:
 	default:
@@ -287,16 +309,22 @@
 
 // lateReason returns why the call would not get a slot in time, or None.
 func (g *Gate) lateReason(w *waiter) refusal.Reason {
-	position := g.queue.ahead(w.rank) + 1
+	if w.Rank == rankHealthCheck {
+		return refusal.None
+	}
+	if g.coldLate(w, g.coldPosition(&w.Work)) {
+		return refusal.ServerCold
+	}
+	position := g.queue.ahead(w.Rank) + 1
 	if wait := g.limiter.wait(position); wait > 0 {
 		start := g.latest.Add(wait)
-		if !start.Before(w.queueDeadline) || g.endsLate(start, w) {
+		if !start.Before(w.QueueDeadline) || g.endsLate(start, w) {
 			return refusal.ServerLimited
 		}
 	}
 	rounds := float64(position) / float64(g.capacity())
 	start := g.latest.Add(time.Duration(rounds * float64(g.meanServiceTime)))
-	if !start.Before(w.queueDeadline) || g.endsLate(start, w) {
+	if !start.Before(w.QueueDeadline) || g.endsLate(start, w) {
 		return refusal.QueueDeadline
 	}
 	return refusal.None
@@ -316,9 +344,9 @@
 // refuseLate refuses a queued call that can no longer be served in time.
 func (g *Gate) refuseLate(w *waiter) bool {
 	switch {
-	case !g.latest.Before(w.deadline):
+	case !g.latest.Before(w.Deadline):
 		w.refuse(refusal.DeadlinePassed)
-	case !g.latest.Before(w.queueDeadline), g.endsLate(g.latest, w):
+	case !g.latest.Before(w.QueueDeadline), g.endsLate(g.latest, w):
 		w.refuse(refusal.QueueDeadline)
 	default:
 		return false
@@ -326,37 +354,49 @@
 	return true
 }
 
-// canGrant reports whether a slot is free and the limit of the rate allows its use.
-func (g *Gate) canGrant() bool { return g.running < g.capacity() && g.limiter.allows() }
+// canGrant reports whether a slot is free and the limits of the rate allow its use.
+func (g *Gate) canGrant() bool {
+	return g.running < g.capacity() && g.limiter.allows() && g.cold.allows()
+}
 
 // dispatch grants free slots to queued calls.
 func (g *Gate) dispatch() {
 	for g.queue.total > 0 && g.canGrant() {
-		next := g.queue.oldestOfBestRank()
-		if g.grants%fairnessInterval == fairnessInterval-1 {
-			next = g.queue.earliestDeadline()
-		}
+		next := g.next()
 		g.queue.remove(next)
 		if g.refuseLate(next) {
 			continue
 		}
-		next.ticket = g.grant()
+		next.ticket = g.grant(next.Rank)
 		close(next.done)
 	}
 }
 
-func (g *Gate) grant() *Ticket {
+// next returns the queued call that gets the next slot.
+func (g *Gate) next() *waiter {
+	switch best := g.queue.oldestOfBestRank(); {
+	case g.cold.active():
+		return best.oldestCall()
+	case g.grants%fairnessInterval == fairnessInterval-1:
+		return g.queue.earliestDeadline()
+	default:
+		return best
+	}
+}
+
+func (g *Gate) grant(rank Rank) *Ticket {
 	g.limiter.take()
+	g.cold.take()
 	g.running++
 	g.grants++
-	return &Ticket{gate: g, GrantedAt: g.latest}
+	return &Ticket{gate: g, GrantedAt: g.latest, check: rank == rankHealthCheck}
 }
 
 func (g *Gate) release(ticket *Ticket, now id.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.advanceClock(now)
-	if !ticket.GrantedAt.Before(g.resyncedAt) {
+	if !ticket.check && !ticket.GrantedAt.Before(g.resyncedAt) {
 		g.sample(max(0, now.Sub(ticket.GrantedAt)))
 	}
 	g.freeSlot()
@@ -375,7 +415,11 @@
 // endsLate reports whether a call started at the given instant would probably
 // end after its deadline.
 func (g *Gate) endsLate(start id.Instant, w *waiter) bool {
-	return !start.Add(g.meanServiceTime + deviationFactor*g.meanDeviation).Before(w.deadline)
+	if w.Rank == rankHealthCheck {
+		// Health checks take far less time than other calls.
+		return false
+	}
+	return !start.Add(g.meanServiceTime + deviationFactor*g.meanDeviation).Before(w.Deadline)
 }
 
 // abandon removes a call whose caller has gone.
@@ -391,6 +435,7 @@
 	if w.ticket != nil {
 		w.ticket.released.Store(true)
 		g.limiter.giveBack()
+		g.cold.giveBack()
 		g.freeSlot()
 	}
 }
@@ -417,6 +462,7 @@
 func (g *Gate) advanceClock(now id.Instant) {
 	g.latest = max(g.latest, now)
 	g.limiter.fill(g.latest)
+	g.cold.advance(g.latest)
 }
 
 // capacity returns the number of usable slots at this point of the ramp.
--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -30,8 +30,8 @@
 			for _, w := range waiting {
 				select {
 				case <-w.done:
-					if w.ticket != nil && (w.ticket.GrantedAt >= w.queueDeadline || w.ticket.GrantedAt >= w.deadline) {
-						t.Fatalf("ticket at %d after the deadlines %d and %d", w.ticket.GrantedAt, w.queueDeadline, w.deadline)
+					if w.ticket != nil && (w.ticket.GrantedAt >= w.QueueDeadline || w.ticket.GrantedAt >= w.Deadline) {
+						t.Fatalf("ticket at %d after the deadlines %d and %d", w.ticket.GrantedAt, w.QueueDeadline, w.Deadline)
 					}
 					if w.ticket != nil {
 						held = append(held, w.ticket)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -1,16 +1,27 @@
 package admission
 
 import (
+	"time"
+
 	"marjoramsaddle/core/document"
-	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
 )
 
 // Rank is the priority of a call in the queue. Zero is the highest.
 type Rank int
 
-// rankCount is the number of ranks; routes have about three priorities.
-const rankCount = 4
+const (
+	// rankHealthCheck is the rank of health checks. They end a doubt that limits all
+	// other calls.
+	rankHealthCheck Rank = -1
+	// rankCount is the number of ranks of calls; routes have about three priorities.
+	rankCount = 4
+	// listCount is the number of lists in the queue, one per rank.
+	listCount = rankCount + 1
+)
+
+// list returns the index of the rank's list in the queue.
+func (r Rank) list() int { return int(r - rankHealthCheck) }
 
 // RankOf returns the rank of a route's priority.
 func RankOf(priority int) Rank { return Rank(min(max(0, priority), rankCount-1)) }
@@ -31,13 +42,12 @@
 
 // waiter is one queued call. The gate's lock guards it until done is closed.
 type waiter struct {
-	rank          Rank
-	deadline      id.Instant
-	queueDeadline id.Instant
-	done          chan struct{}
-	ticket        *Ticket
-	reason        refusal.Reason
-	queued        bool
+	Work
+	done       chan struct{}
+	ticket     *Ticket
+	reason     refusal.Reason
+	retryAfter time.Duration
+	queued     bool
 	previous      *waiter
 	next          *waiter
 }
@@ -50,58 +60,71 @@
 // result is valid once done is closed.
 func (w *waiter) result() (*Ticket, *refusal.Error) {
 	if w.ticket == nil {
-		return nil, refusal.New(w.reason, refusal.NotRun)
+		return nil, &refusal.Error{Reason: w.reason, Outcome: refusal.NotRun, RetryAfter: w.retryAfter}
 	}
 	return w.ticket, nil
 }
 
+// oldestCall returns the oldest call of a running request in the list that begins with
+// the given waiter, or the waiter itself if there is none.
+func (w *waiter) oldestCall() *waiter {
+	for other := w; other != nil; other = other.next {
+		if other.Call {
+			return other
+		}
+	}
+	return w
+}
+
 // queue holds one list of waiting calls per rank, in order of arrival.
 type queue struct {
-	head  [rankCount]*waiter
-	tail  [rankCount]*waiter
-	count [rankCount]int
+	head  [listCount]*waiter
+	tail  [listCount]*waiter
+	count [listCount]int
 	total int
 }
 
 func (q *queue) push(w *waiter) {
 	w.queued = true
-	w.previous = q.tail[w.rank]
+	w.previous = q.tail[w.Rank.list()]
 	if w.previous == nil {
-		q.head[w.rank] = w
+		q.head[w.Rank.list()] = w
 	} else {
 		w.previous.next = w
 	}
-	q.tail[w.rank] = w
-	q.count[w.rank]++
+	q.tail[w.Rank.list()] = w
+	q.count[w.Rank.list()]++
 	q.total++
 }
 
 func (q *queue) remove(w *waiter) {
 	if w.previous == nil {
-		q.head[w.rank] = w.next
+		q.head[w.Rank.list()] = w.next
 	} else {
 		w.previous.next = w.next
 	}
 	if w.next == nil {
-		q.tail[w.rank] = w.previous
+		q.tail[w.Rank.list()] = w.previous
 	} else {
 		w.next.previous = w.previous
 	}
 	w.previous, w.next, w.queued = nil, nil, false
-	q.count[w.rank]--
+	q.count[w.Rank.list()]--
 	q.total--
 }
 
 // removeIf removes the calls for which drop returns true. The function drop has already
-// completed them.
+// completed them. It is called by rank, for the calls of running requests before others.
 func (q *queue) removeIf(drop func(*waiter) bool) {
-	for _, w := range q.head {
-		for w != nil {
-			next := w.next
-			if drop(w) {
-				q.remove(w)
+	for list := range q.head {
+		for _, calls := range []bool{true, false} {
+			for w := q.head[list]; w != nil; {
+				next := w.next
+				if w.Call == calls && drop(w) {
+					q.remove(w)
+				}
+				w = next
 			}
-			w = next
 		}
 	}
 }
@@ -120,7 +143,7 @@
 func (q *queue) earliestDeadline() *waiter {
 	var best *waiter
 	for _, w := range q.head {
-		if w != nil && (best == nil || w.queueDeadline.Before(best.queueDeadline)) {
+		if w != nil && (best == nil || w.QueueDeadline.Before(best.QueueDeadline)) {
 			best = w
 		}
 	}
@@ -130,8 +153,8 @@
 // newestBelow returns the newest call of the lowest rank below the given one, or nil.
 func (q *queue) newestBelow(rank Rank) *waiter {
 	for other := Rank(rankCount - 1); other > rank; other-- {
-		if q.tail[other] != nil {
-			return q.tail[other]
+		if last := q.tail[other.list()]; last != nil {
+			return last
 		}
 	}
 	return nil
@@ -140,7 +163,7 @@
 // ahead returns the number of queued calls that precede a new one of the given rank.
 func (q *queue) ahead(rank Rank) int {
 	sum := 0
-	for _, count := range q.count[:rank+1] {
+	for _, count := range q.count[:rank.list()+1] {
 		sum += count
 	}
 	return sum
--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -57,6 +57,9 @@
 	ColdLeft time.Duration
 	// ColdUntil is when the server stops being slow, on this daemon's clock.
 	ColdUntil id.Instant
+	// ColdRate is the rate of requests that the server tolerates while it is cold, or zero
+	// if that is not limited.
+	ColdRate id.RequestRate
 	// Evacuated is set while the operators have taken its failure domain out of service.
 	Evacuated bool
 }
@@ -70,6 +73,13 @@
 // AcceptsNew reports whether the server may receive new requests.
 func (s *Server) AcceptsNew() bool { return s.State == Ready && !s.Evacuated }
 
+// ColdCapacity returns the slots that are in use when requests of the given service time
+// arrive at the rate that a cold server tolerates, at least 1.
+func (s *Server) ColdCapacity(service time.Duration) int {
+	inUse := int(float64(s.ColdRate) * service.Seconds())
+	return max(1, min(s.Slots, inUse))
+}
+
 // Process returns the process that the entry describes.
 func (s *Server) Process() Process { return Process{ID: s.ID, Born: s.Born} }
 
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -105,6 +105,9 @@
 	if state.hasCurrentReport(request.Now) {
 		load = max(state.report.Running+state.report.Queued+len(state.sentSinceReport), state.inFlight)
 		slots = max(1, state.report.Slots)
+	} else if state.server.ColdRate > 0 && request.Now.Before(state.server.ColdUntil) {
+		// The daemon beside the server has not reported yet what the rate allows.
+		slots = state.server.ColdCapacity(service)
 	}
 	if request.Now.Before(state.server.ColdUntil) {
 		service = time.Duration(coldStartFactor * float64(service))
@@ -126,5 +129,8 @@
 			expected += farLargePenalty
 		}
 	}
-	return Choice{Server: state.server, Expected: expected, QueueWait: wait}
+	return Choice{
+		Server: state.server, Expected: expected, QueueWait: wait,
+		RateLimited: request.Now.Before(state.rateLimitedUntil) || state.server.ColdRate > 0 && request.Now.Before(state.server.ColdUntil),
+	}
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -49,6 +49,10 @@
 	// refused a request for lack of capacity, in service times. With five slots or
 	// more, one is free by then on average.
 	refusedEjectionShare = 0.2
+	// rateLimitMemory is how long a server that has refused a request for its rate counts
+	// as limited. Cold times are some seconds long, and requests that wait for a server
+	// that is not cold any more are served at once.
+	rateLimitMemory = time.Second
 	// maxSentSinceReport bounds the requests of this daemon that are counted on top
 	// of a report; servers have fewer slots.
 	maxSentSinceReport = 256
@@ -109,6 +113,9 @@
 	Expected time.Duration
 	// QueueWait is the part of Expected that the request waits for a slot.
 	QueueWait time.Duration
+	// RateLimited is set if the server is cold, so that requests wait for its rate
+	// whether or not it has a free slot.
+	RateLimited bool
 }
 
 // Chooser chooses among the backend servers of all services. It is safe for
@@ -136,6 +143,9 @@
 	// lastRequestAt is when this daemon last sent a request to the server.
 	lastRequestAt       id.Instant
 	consecutiveFailures int
+	// rateLimitedUntil is when a cold server that has refused a request for its rate is
+	// expected to serve at the full rate again.
+	rateLimitedUntil id.Instant
 	ejectedUntil        id.Instant
 	// domainLatestReport is when the latest report of the server's failure domain
 	// was made. It is shared by all servers of the domain.
@@ -261,6 +271,19 @@
 	}
 }
 
+// RefusedCold records that a cold server has no capacity until the given instant. Until
+// then it is only chosen as a last resort.
+func (c *Chooser) RefusedCold(server backend.ID, until, now id.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.servers[server]
+	if state == nil {
+		return
+	}
+	state.ejectedUntil = max(state.ejectedUntil, min(until, now.Add(maxEjection)))
+	state.rateLimitedUntil = max(state.rateLimitedUntil, now.Add(rateLimitMemory))
+}
+
 // Choose returns the best of a few sampled backend servers of the service. It returns
 // false if no server may receive the request.
 func (c *Chooser) Choose(request Request) (Choice, bool) {
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 )
 
 //go:generate stringer -type=Reason,Outcome -linecomment -output=refusal_string.go
@@ -92,6 +93,8 @@
 	Reason  Reason
 	Outcome Outcome
 	Cause   error
+	// RetryAfter is the time until there is capacity, or zero if that is unknown.
+	RetryAfter time.Duration
 }
 
 // New returns a refusal without a cause.
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,6 +127,9 @@
 	DialControl func(network, address string, conn syscall.RawConn) error
 	// OnDial is called after each new connection. It may be nil.
 	OnDial func(address string)
+	// OnLost is called when the peer has closed an idle connection before it expired, or
+	// has sent data on it that belongs to no request. It may be nil.
+	OnLost func(address string)
 }
 
 // Pool sends requests over keep-alive connections, one at a time on each. It
@@ -396,6 +400,9 @@
 			return conn, nil
 		}
 		_ = conn.conn.Close()
+		if p.options.OnLost != nil {
+			p.options.OnLost(address)
+		}
 	}
 	inner, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -446,17 +453,30 @@
 // CloseExpired closes idle connections that have expired or received data. Call it
 // periodically, about every second.
 func (p *Pool) CloseExpired() {
-	now := time.Now()
+	for _, address := range p.removeExpired(time.Now()) {
+		if p.options.OnLost != nil {
+			p.options.OnLost(address)
+		}
+	}
+}
+
+// removeExpired does the work of CloseExpired. It returns the addresses of peers that
+// have closed connections before they expired.
+func (p *Pool) removeExpired(now time.Time) (lost []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
 		remaining := conns[:0]
 		for _, conn := range conns {
-			if now.After(conn.expiresAt) || !conn.conn.Idle() {
-				_ = conn.conn.Close()
+			expired := now.After(conn.expiresAt)
+			if !expired && conn.conn.Idle() {
+				remaining = append(remaining, conn)
 				continue
 			}
-			remaining = append(remaining, conn)
+			_ = conn.conn.Close()
+			if !expired && !slices.Contains(lost, address) {
+				lost = append(lost, address)
+			}
 		}
 		if len(remaining) == 0 {
 			delete(p.idle, address)
@@ -464,6 +484,7 @@
 		}
 		p.idle[address] = remaining
 	}
+	return lost
 }
 
 // CloseIdleTo closes the idle connections to the address.
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -20,6 +20,10 @@
 	// noWaitAttempts is the number of first attempts that are refused instead of
 	// queued, to find a backend server with a free slot.
 	noWaitAttempts = 2
+	// maxColdRefusals is the number of cold backend servers that refuse a request that
+	// would wait for them, after which the request is refused. When all servers are cold
+	// after a power loss, further attempts would only multiply the messages.
+	maxColdRefusals = 2
 )
 
 // sendWithRetries sends the request until a backend server has responded or no
@@ -95,6 +99,8 @@
 	switch refused.Reason {
 	case refusal.CallerGone, refusal.DeadlinePassed, refusal.BadRequest, refusal.BodyTooLarge:
 		return false
+	case refusal.ServerCold:
+		return j.coldRefusals < maxColdRefusals && h.options.Now().Before(j.deadline)
 	default:
 		return h.options.Now().Before(j.deadline)
 	}
@@ -126,20 +132,35 @@
 	j.record.Server, j.record.Expected = choice.Server.ID, choice.Expected
 	call := relay.Call{
 		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
-		Aim: j.route.Aim, NoWait: number <= noWaitAttempts, Large: j.route.Large,
-		Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
+		Aim: j.route.Aim, NoWait: number <= noWaitAttempts && !choice.RateLimited, Large: j.route.Large,
+		OfRequest: j.parent != nil, Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
 	}
 	response, refused := h.send(ctx, j, &choice.Server, call)
 	h.recordCalls(j, response, refused)
 	if refused == nil || mayHaveReachedBackend(refused) {
 		j.record.Arrivals++
 	}
-	if refused == nil || !isCapacityRefusal(refused.Reason) || number > noWaitAttempts {
+	if refused != nil && refused.Reason == refusal.ServerCold {
+		h.recordColdRefusal(j, call, refused)
+	}
+	if refused == nil || !isCapacityRefusal(refused.Reason) || !call.NoWait {
 		j.exclude = append(j.exclude, choice.Server.ID)
 	}
 	return response, refused
 }
 
+// recordColdRefusal records that a cold backend server has refused the request.
+func (h *Handler) recordColdRefusal(j *job, call relay.Call, refused *refusal.Error) {
+	now := h.options.Now()
+	h.options.Chooser.RefusedCold(call.Server, now.Add(refused.RetryAfter), now)
+	if !call.NoWait {
+		j.coldRefusals++
+	}
+	if j.retryAfter == 0 || refused.RetryAfter < j.retryAfter {
+		j.retryAfter = refused.RetryAfter
+	}
+}
+
 // send makes the attempt and reports its start and result to the chooser, even if
 // it panics.
 func (h *Handler) send(ctx context.Context, j *job, target *backend.Server, call relay.Call) (response *http1.Response, refused *refusal.Error) {
@@ -174,7 +195,7 @@
 // little later.
 func isCapacityRefusal(reason refusal.Reason) bool {
 	switch reason {
-	case refusal.QueueFull, refusal.QueueDeadline, refusal.LinkBusy, refusal.ServerLimited:
+	case refusal.QueueFull, refusal.QueueDeadline, refusal.LinkBusy, refusal.ServerLimited, refusal.ServerCold:
 		return true
 	default:
 		return false
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -71,6 +71,8 @@
 	// Started and Finished are called at the start and the end of an attempt.
 	Started(server backend.ID, now id.Instant)
 	Finished(server backend.ID, result placement.Result, now id.Instant)
+	// RefusedCold is called when a cold server has no capacity until the given instant.
+	RefusedCold(server backend.ID, until, now id.Instant)
 }
 
 // ParentRequest is a request in progress at the local backend server, which may send
@@ -195,6 +197,10 @@
 	leaving bool
 	// exclude lists the backend servers that are not tried again.
 	exclude []backend.ID
+	// coldRefusals counts the cold backend servers that have refused to queue the request,
+	// and retryAfter is the time until the first of them has capacity.
+	coldRefusals int
+	retryAfter   time.Duration
 }
 
 // origin returns where the request comes from.
@@ -413,6 +419,9 @@
 	case refused.Outcome == refusal.NotRun:
 		status = http.StatusServiceUnavailable
 		after := retry.After(j.record.Expected, rand.Uint64())
+		if refused.Reason == refusal.ServerCold {
+			after = retry.AfterRefusal(j.retryAfter, rand.Uint64())
+		}
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	case refused.Reason == refusal.DeadlinePassed:
 		status = http.StatusGatewayTimeout
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -75,6 +75,8 @@
 
 func (e *environment) Started(backend.ID, id.Instant) {}
 
+func (e *environment) RefusedCold(backend.ID, id.Instant, id.Instant) {}
+
 func (e *environment) Finished(backend.ID, placement.Result, id.Instant) {}
 
 func (e *environment) Do(_ context.Context, server *backend.Server, call relay.Call, _ *http1.Request) (*http1.Response, *refusal.Error) {
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -50,6 +50,8 @@
 	headerReason      = headerPrefix + "Reason"
 	headerLoad        = headerPrefix + "Load"
 	headerLimit       = headerPrefix + "Limit"
+	headerOfRequest   = headerPrefix + "Of-Request"
+	headerRetryAfter  = headerPrefix + "Retry-After-Us"
 )
 
 // ExchangeHeader carries the number of an exchange between two daemons. It tells a
@@ -88,6 +90,9 @@
 	// restarted and not know it.
 	Limit    announcement.Limit
 	LimitAge time.Duration
+	// OfRequest is set if a running request makes the call, so that refusing it wastes
+	// the work of that request.
+	OfRequest bool
 	// Origin and Arrived tell where the request comes from and when it reached this
 	// daemon. They are not sent.
 	Origin  shutdown.Origin
@@ -119,6 +124,9 @@
 	if c.Large {
 		header.Set(headerLarge, flagTrue)
 	}
+	if c.OfRequest {
+		header.Set(headerOfRequest, flagTrue)
+	}
 	if c.Limit.Announced {
 		header.Set(headerLimit, formatLimit(c.Limit.Rate, c.LimitAge))
 	}
@@ -168,8 +176,9 @@
 	call := Call{
 		Server: backend.ID(header.Get(headerServer)), Rank: rank,
 		Left: durations[0], Aim: durations[1],
-		NoWait: header.Get(headerNoWait) == flagTrue,
-		Large:  header.Get(headerLarge) == flagTrue,
+		NoWait:    header.Get(headerNoWait) == flagTrue,
+		Large:     header.Get(headerLarge) == flagTrue,
+		OfRequest: header.Get(headerOfRequest) == flagTrue,
 	}
 	if call.Expected, err = readExpected(header); err != nil {
 		return Call{}, err
@@ -190,6 +199,25 @@
 	return time.Duration(microseconds) * time.Microsecond, nil
 }
 
+// maxRetryAfter bounds the time until there is capacity in a refusal.
+const maxRetryAfter = time.Hour
+
+// writeRetryAfter sets headerRetryAfter if the time is known.
+func writeRetryAfter(header http.Header, after time.Duration) {
+	if after > 0 {
+		header.Set(headerRetryAfter, strconv.FormatInt(after.Microseconds(), 10))
+	}
+}
+
+// readRetryAfter decodes headerRetryAfter. It returns zero if the time is unknown.
+func readRetryAfter(header http.Header) time.Duration {
+	microseconds, err := strconv.ParseInt(header.Get(headerRetryAfter), 10, 64)
+	if err != nil || microseconds < 0 {
+		return 0
+	}
+	return time.Duration(min(microseconds, maxRetryAfter.Microseconds())) * time.Microsecond
+}
+
 // MarkCallRefused marks the response of a request that failed because a call it
 // made was refused.
 func MarkCallRefused(header http.Header) { header.Set(headerCallRefused, flagTrue) }
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -57,7 +57,7 @@
 		return nil, refusal.Wrap(refusal.HopBroken, refusal.Unknown, errNoOutcome)
 	}
 	if reason != refusal.None {
-		return nil, refusal.New(reason, parseOutcome(outcome))
+		return nil, &refusal.Error{Reason: reason, Outcome: parseOutcome(outcome), RetryAfter: readRetryAfter(response.Header)}
 	}
 	return response, nil
 }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -117,6 +117,7 @@
 	header.Set(headerOutcome, refused.Outcome.String())
 	header.Set(headerReason, refused.Reason.String())
 	header.Set(headerLoad, formatLoad(h.local.Load()))
+	writeRetryAfter(header, refused.RetryAfter)
 	header.Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
