sidecar, io/server, platformtest: limit the rate of the cold local backend server

Cause: the daemon beside a backend server that starts cold sent it requests at the full rate. Ruled out: health checks outside the gate: they would exceed the slots and the rate. A health check on a pooled connection, which may belong to an earlier process.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -48,8 +48,8 @@
 	reason     refusal.Reason
 	retryAfter time.Duration
 	queued     bool
-	previous      *waiter
-	next          *waiter
+	previous   *waiter
+	next       *waiter
 }
 
 func (w *waiter) refuse(reason refusal.Reason) {
--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -182,21 +182,25 @@
 	return s.source
 }
 
-// NeedsCheck reports whether a health check should be sent now. Once another backend
-// server has answered, only its entry tells more.
+// NeedsCheck reports whether a health check should be sent now.
 func (s *State) NeedsCheck(at id.Instant) bool {
-	return s.InDoubt(at) && s.other == "" && !at.Before(s.NextCheck())
+	next, needed := s.NextCheck(at)
+	return needed && next <= at
 }
 
 // InDoubt reports whether the state is in doubt.
 func (s *State) InDoubt(at id.Instant) bool { return s.inDoubt && at.Before(s.doubtEnd()) }
 
-// NextCheck returns the earliest instant of the next health check.
-func (s *State) NextCheck() id.Instant {
+// NextCheck returns the earliest instant of the next health check, or false if none is
+// needed. Once another backend server has answered, only its entry tells more.
+func (s *State) NextCheck(at id.Instant) (id.Instant, bool) {
+	if !s.InDoubt(at) || s.other != "" {
+		return 0, false
+	}
 	if s.checkedAt == 0 {
-		return 0
+		return at, true
 	}
-	return s.checkedAt.Add(checkInterval)
+	return max(at, s.checkedAt.Add(checkInterval)), true
 }
 
 // doubtEnd returns when a process that started at the last doubt stops being cold.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -146,7 +146,7 @@
 	// rateLimitedUntil is when a cold server that has refused a request for its rate is
 	// expected to serve at the full rate again.
 	rateLimitedUntil id.Instant
-	ejectedUntil        id.Instant
+	ejectedUntil     id.Instant
 	// domainLatestReport is when the latest report of the server's failure domain
 	// was made. It is shared by all servers of the domain.
 	domainLatestReport *id.Instant
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -81,6 +81,9 @@
 	// LimitLearned is called for each request whose sender knows a limit of the backend
 	// server, before the request is admitted. It may be nil.
 	LimitLearned func(server *backend.Server, learned announcement.LearnedLimit)
+	// ConnectionLost is called when the backend server has refused, closed or reset a
+	// connection, so that another process may listen at the address. It may be nil.
+	ConnectionLost func()
 	// Admit reports whether a request may be sent while this process is stopping, and
 	// returns its deadline.
 	Admit func(work shutdown.Work) (id.Instant, bool)
@@ -93,7 +96,11 @@
 	gate    *admission.Gate
 	current atomic.Pointer[backend.Server]
 	limit   atomic.Pointer[announcement.Limit]
-	leaving atomic.Bool
+	// coldStart is the rate that the backend server tolerates while it is cold.
+	coldStart atomic.Pointer[coldStart]
+	leaving   atomic.Bool
+	// unreachable is set while no connection to the backend server can be made.
+	unreachable atomic.Bool
 
 	mu             sync.Mutex
 	maxConnections int
@@ -121,6 +128,7 @@
 	if previous == nil || previous.ID != current.ID || previous.Born != current.Born {
 		// Connections to the previous process are dead.
 		s.options.Pool.CloseIdleTo(s.options.Address)
+		s.unreachable.Store(false)
 		s.mu.Lock()
 		s.service, s.failures, s.inProgress = serviceTime{}, backend.FailureRate{}, inProgress{}
 		s.mu.Unlock()
@@ -181,7 +189,7 @@
 	report.Service = max(s.service.mean, s.inProgress.meanAge(report.At))
 	report.FailureRate = s.failures.Value(report.At)
 	s.mu.Unlock()
-	report.Slots = s.usableSlots(report.Slots, report.Service)
+	report.Slots = s.coldCapacity(s.usableSlots(report.Slots, report.Service), report.Service, report.At)
 	return report
 }
 
@@ -247,10 +255,11 @@
 	if current := s.current.Load(); call.Limit.Announced && current != nil && s.options.LimitLearned != nil {
 		s.options.LimitLearned(current, announcement.LearnedLimit{Limit: call.Limit, At: now.Add(-call.LimitAge)})
 	}
-	rank := admission.RankOf(call.Rank)
-	ticket, refused := s.gate.AcquireRank(ctx, now, rank, deadline, now.Add(s.maxQueueWait(call)))
+	ticket, refused := s.gate.AcquireWork(ctx, now, admission.Work{
+		Rank: admission.RankOf(call.Rank), Call: call.OfRequest, Deadline: deadline, QueueDeadline: now.Add(s.maxQueueWait(call)),
+	})
 	if refused != nil {
-		return nil, refused
+		return nil, s.withoutConnection(refused)
 	}
 	defer func() { ticket.Release(s.options.Now()) }()
 	// The backend server may have been replaced while the request was queued.
@@ -269,6 +278,7 @@
 	active := s.begin(s.options.HeaderCodec.RequestID(request.Header), started)
 	defer s.end(active)
 	response, err := s.options.Pool.Do(ctx, s.options.Address, request)
+	s.recordConnection(ctx, err)
 	if err != nil {
 		refused := refusalFor(ctx, err)
 		s.recordResult(started, refused.Reason != refusal.DeadlinePassed && refused.Reason != refusal.CallerGone, false)
@@ -377,7 +387,7 @@
 
 // maxQueueWait returns how long the request may wait for a slot.
 func (s *Server) maxQueueWait(call relay.Call) time.Duration {
-	if call.NoWait {
+	if call.NoWait || s.unreachable.Load() && s.coldStart.Load().limits(s.options.Now()) {
 		return 0
 	}
 	s.mu.Lock()
--- a/sidecar/announcements.go
+++ b/sidecar/announcements.go
@@ -41,6 +41,12 @@
 	if err != nil {
 		return err
 	}
+	err = d.metrics.Gauge("marjoramsaddle_backend_cold_ms",
+		"Milliseconds for which the backend server of this host still counts as cold.",
+		func() int64 { return d.coldWatch.left().Milliseconds() })
+	if err != nil {
+		return err
+	}
 	return d.metrics.Gauge("marjoramsaddle_backend_requests_admitted",
 		"Requests admitted to the backend server of this host since the daemon started.",
 		func() int64 { return int64(d.localBackend.Sent()) })
--- /dev/null
+++ b/sidecar/coldstart_test.go
@@ -0,0 +1,193 @@
+package sidecar
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/platform/platformtest"
+)
+
+const (
+	// coldTime, coldRate and maxColdArrivals are a deployment's cold time, the requests
+	// per second that its cold backend servers tolerate, and the platform's bound for any
+	// one second.
+	coldTime        = 3 * time.Second
+	coldRate        = 11
+	maxColdArrivals = 24
+	// entryInterval is how often the stand-ins of these tests rewrite their entries, and
+	// entryDelay how much later than it was written an entry reaches the store.
+	entryInterval = 1500 * time.Millisecond
+	entryDelay    = 500 * time.Millisecond
+	coldSlots     = 6
+)
+
+// serveWithColdStart starts all hosts with a limited rate for cold backend servers, whose
+// requests take 50 ms.
+func (f *fleet) serveWithColdStart() {
+	f.t.Helper()
+	f.startServing()
+	f.store.Put(platformtest.ConfigurationKey, platformtest.WithColdStart(
+		platformtest.Configuration("r2", []string{"counter", "depot"}, f.routes("counter")...), coldTime, coldRate))
+	for _, h := range f.hosts {
+		respondAfter(h, 50*time.Millisecond)
+		f.putColdEntry(h)
+	}
+	f.eventuallyEverywhere(func(h *host) bool { return h.daemon.table.Load().Version == 2 })
+	f.eventuallyEverywhere(func(h *host) bool { return h.daemon.coldWatch.left() == 0 })
+}
+
+func (f *fleet) putColdEntry(h *host) {
+	f.store.Put(platformtest.ServerPrefix+h.backend.Name, h.backend.Entry("reduit", "ready", coldSlots))
+}
+
+// writeEntries rewrites the entry of the host's backend server until the returned
+// function is called. Each entry reaches the store late.
+func (f *fleet) writeEntries(h *host) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			entry := h.backend.Entry("reduit", "ready", coldSlots)
+			select {
+			case <-done:
+				return
+			case <-time.After(entryDelay):
+			}
+			f.store.Put(platformtest.ServerPrefix+h.backend.Name, entry)
+			select {
+			case <-done:
+				return
+			case <-time.After(entryInterval - entryDelay):
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// Guards against requests above the rate of a cold backend server that has restarted
+// under its ID beside a running daemon, which learns of it late, and against a server
+// that stays limited after its cold time.
+func TestColdServerAfterItsRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "counter", "counter")
+	f.serveWithColdStart()
+	restarted := f.hosts[0]
+	stopLoad := f.load("load", f.hosts...)
+	time.Sleep(500 * time.Millisecond)
+	is.NoErr(restarted.backend.Restart(300*time.Millisecond, coldTime))
+	respondAfter(restarted, 50*time.Millisecond)
+	stopEntries := f.writeEntries(restarted)
+	end := restarted.backend.ColdUntil()
+	time.Sleep(time.Until(end.Add(2 * time.Second)))
+	stopLoad()
+	stopEntries()
+	most, cold := restarted.backend.MostInOneSecond(end), restarted.backend.Arrivals(end.Add(-coldTime), end)
+	t.Logf("cold: %d requests, %d in one second", cold, most)
+	is.True(most <= maxColdArrivals)
+	is.True(cold >= coldRate*2)
+	is.True(restarted.backend.Arrivals(end, end.Add(2*time.Second)) >= 4*coldRate)
+}
+
+// Guards against requests above the rate of a cold backend server from a daemon that
+// restarts beside it and finds an old entry of a warm server.
+func TestColdServerBesideRestartedDaemon(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "counter", "counter")
+	f.serveWithColdStart()
+	restarted, other := f.hosts[0], f.hosts[1]
+	restarted.stop()
+	is.NoErr(<-restarted.done)
+	stopLoad := f.load("load", other)
+	is.NoErr(restarted.backend.Restart(0, 2*coldTime))
+	respondAfter(restarted, 50*time.Millisecond)
+	end := restarted.backend.ColdUntil()
+	f.start(restarted)
+	time.Sleep(time.Until(end.Add(time.Second)))
+	stopLoad()
+	most := restarted.backend.MostInOneSecond(end)
+	t.Logf("cold: %d in one second", most)
+	is.True(most > 0)
+	is.True(most <= maxColdArrivals)
+	is.True(restarted.backend.Arrivals(end, end.Add(time.Second)) > coldRate)
+}
+
+// Guards against health checks, and any other change, where the configuration sets no
+// rate, also when the backend server restarts.
+func TestNoHealthCheckWithoutRate(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "counter", "counter")
+	f.startServing()
+	restarted := f.hosts[0]
+	stopLoad := f.load("load", f.hosts...)
+	time.Sleep(200 * time.Millisecond)
+	is.NoErr(restarted.backend.Restart(100*time.Millisecond, coldTime))
+	f.putServer(restarted, "ready")
+	time.Sleep(time.Second)
+	stopLoad()
+	for _, h := range f.hosts {
+		is.Equal(h.backend.HealthChecks(), 0)
+		is.Equal(h.daemon.coldWatch.left(), time.Duration(0))
+	}
+	is.True(restarted.backend.MostInOneSecond(time.Now()) > maxColdArrivals)
+}
+
+// Guards against requests above the rate of a cold backend server whose failure domain
+// is put back into service, and against anything sent to it before.
+func TestColdServerAfterEvacuation(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "counter")
+	f.serveWithColdStart()
+	h := f.hosts[0]
+	f.store.Put(platformtest.EvacuationPrefix+"reduit", map[string]any{})
+	f.eventually(func() bool { return h.evacuated() == 1 })
+	time.Sleep(100 * time.Millisecond)
+	before := h.backend.HealthChecks()
+	stopLoad := f.load("load", h)
+	// The server becomes cold meanwhile, and its entries do not say so.
+	time.Sleep(time.Second)
+	h.backend.SetCold(coldTime + 500*time.Millisecond)
+	is.Equal(h.backend.HealthChecks(), before)
+	back := time.Now()
+	f.store.Delete(platformtest.EvacuationPrefix + "reduit")
+	end := h.backend.ColdUntil()
+	time.Sleep(time.Until(end.Add(500 * time.Millisecond)))
+	stopLoad()
+	for at := back; at.Before(end.Add(-time.Second)); at = at.Add(50 * time.Millisecond) {
+		is.True(h.backend.Arrivals(at, at.Add(time.Second)) <= maxColdArrivals)
+	}
+	is.True(h.backend.Arrivals(back, end) >= 2*coldRate)
+}
+
+// Guards against requests to an address at which nothing listens that wait for the rate
+// of a cold server, or are refused for it.
+func TestNothingListens(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "counter")
+	f.serveWithColdStart()
+	h := f.hosts[0]
+	h.backend.Close()
+	f.call(h, http.MethodGet, "/stock/1", "first")
+	for i := range 30 {
+		started := time.Now()
+		reply := f.call(h, http.MethodGet, "/stock/1", "after-"+string(rune('a'+i)))
+		is.Equal(reply.Status, http.StatusServiceUnavailable)
+		is.True(time.Since(started) < 200*time.Millisecond)
+	}
+	time.Sleep(coldTime + 500*time.Millisecond)
+	// The doubt lasts until something answers.
+	is.True(h.daemon.coldWatch.left() > 0)
+	is.NoErr(h.backend.Restart(0, 0))
+	f.eventually(func() bool { return f.call(h, http.MethodGet, "/stock/1", "back").Status == http.StatusOK })
+	f.eventually(func() bool { return h.daemon.coldWatch.left() == 0 })
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -111,6 +111,7 @@
 	gossip       *control.Gossip
 
 	storeState *storeState
+	coldWatch  *coldWatch
 	members    *members
 	lag        lag
 	// announcements holds what backend servers have announced in their responses.
@@ -177,6 +178,7 @@
 	d.backendPool = http1.NewPool(http1.PoolOptions{
 		DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, MaxBodyBytes: maxResponseBytes,
 		RequestID: headers.RequestID,
+		OnLost:    func(string) { d.coldWatch.connectionLost() },
 	})
 	_, hopPort, err := net.SplitHostPort(settings.HopAddress)
 	if err != nil {
@@ -192,7 +194,9 @@
 			d.requestLogger.Refused(requestID, call, refused, d.localBackend.Load())
 		},
 		Responded: d.recordResponse, LimitLearned: d.adoptLimit, Admit: d.admit,
+		ConnectionLost: func() { d.coldWatch.connectionLost() },
 	})
+	d.coldWatch = newColdWatch(d)
 	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
 	d.peerClient = control.NewClient(d.controlPool)
 	d.members = newMembers(settings, d.now)
@@ -262,6 +266,7 @@
 		return err
 	}
 	go d.supervise(background, "queue", d.localBackend.Expire)
+	go d.supervise(background, "cold start", d.coldWatch.run)
 	go d.supervise(background, "store", d.followStore)
 	go d.supervise(background, "peers", d.followPeers)
 	go d.supervise(background, "rounds", d.runRounds)
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -178,16 +178,26 @@
 	for i := range all {
 		s.applyLeaving(&all[i])
 		s.applyEvacuation(&all[i])
+		all[i].ColdRate = configured(table, all[i].Service).ColdRate
 	}
 	s.d.chooser.SetServers(all)
 	s.d.members.setServers(all)
 	local, listed := s.servers.ByAddress(s.d.settings.Load().BackendAddress, isUsable)
 	s.applyLeaving(&local)
 	s.applyEvacuation(&local)
+	s.d.coldWatch.update(&local, listed, configured(table, local.Service))
 	s.d.localBackend.SetCurrent(local, listed)
 	s.d.applyLimit()
 }
 
+// configured returns the configuration of the service, or none before there is one.
+func configured(table *route.Table, service id.Service) route.Service {
+	if table == nil {
+		return route.Service{}
+	}
+	return table.Services[service]
+}
+
 func (s *storeState) applyLeaving(server *backend.Server) {
 	if s.d.announcements.Get(server.Process()).Leaving {
 		server.State = backend.Draining
