--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -189,3 +189,25 @@
 	is.Equal(choose(t, c, Request{Now: now}, 20)["grey"], 20)
 	is.Equal(c.servers["grey"].failureCost(100*time.Millisecond, now.Add(reportTTL)), time.Duration(0))
 }
+
+// Guards against many times the rate of a cold server being sent to it, before its daemon
+// has reported and after it has refused a request.
+func TestColdServerHasLittleCapacity(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	cold, warm := server("cold", "reduit"), server("warm", "reduit")
+	cold.ColdRate, warm.ColdRate, cold.ColdUntil = 11, 11, now.Add(3*time.Second)
+	c.SetServers([]backend.Server{cold, warm})
+	for range 2 {
+		c.Started("cold", now)
+		c.Started("warm", now)
+	}
+	// Each has ten slots, of which the rate of the cold server fills one.
+	is.Equal(choose(t, c, Request{Now: now}, 50)["warm"], 50)
+	later := now.Add(4 * time.Second)
+	is.True(choose(t, c, Request{Now: later}, 50)["cold"] > 0)
+	c.RefusedCold("cold", later.Add(100*time.Millisecond), later)
+	is.Equal(choose(t, c, Request{Now: later}, 50)["warm"], 50)
+	is.True(choose(t, c, Request{Now: later.Add(200 * time.Millisecond)}, 50)["cold"] > 0)
+}
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -367,3 +367,38 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.NoErr(<-ended)
 }
+
+// Guards against a peer that ends unnoticed while its connections are idle, and against
+// a connection that is closed for another reason being taken for that.
+func TestLostIdleConnectionIsReported(t *testing.T) {
+	is := is.New(t)
+	address, _ := startScriptedServer(t, responseText("1", "body"), responseText("2", "body")+responseText("2", "extra"), responseText("3", "body"))
+	var lost atomic.Int64
+	pool := newPool(t, nil)
+	pool.options.OnLost = func(lostAddress string) {
+		is.Equal(lostAddress, address)
+		lost.Add(1)
+	}
+	for i := range 2 {
+		_, err := pool.Do(context.Background(), address, getRequest(fmt.Sprint(i+1)))
+		is.NoErr(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	pool.CloseExpired()
+	is.Equal(lost.Load(), int64(0)) // the extra response
+	end := make(chan struct{})
+	address = startPeer(t, func(conn net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(conn, responseText("4", "body"))
+		<-end
+	})
+	_, err := pool.Do(context.Background(), address, getRequest("4"))
+	is.NoErr(err)
+	pool.CloseExpired()
+	is.Equal(lost.Load(), int64(0))
+	close(end)
+	for deadline := time.Now().Add(testTimeout); lost.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+		pool.CloseExpired()
+	}
+	is.Equal(lost.Load(), int64(1))
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -127,8 +126,8 @@
 	DialControl func(network, address string, conn syscall.RawConn) error
 	// OnDial is called after each new connection. It may be nil.
 	OnDial func(address string)
-	// OnLost is called when the peer has closed an idle connection before it expired, or
-	// has sent data on it that belongs to no request. It may be nil.
+	// OnLost is called when the peer has closed an idle connection before it expired. It
+	// may be nil.
 	OnLost func(address string)
 }
 
@@ -399,10 +398,8 @@
 			conn.reused = true
 			return conn, nil
 		}
+		p.reportLost(conn)
 		_ = conn.conn.Close()
-		if p.options.OnLost != nil {
-			p.options.OnLost(address)
-		}
 	}
 	inner, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -419,94 +416,3 @@
 		writer: bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
-
-// popIdle removes and returns the most recently used idle connection, or returns
-// nil if there is none or it has expired.
-func (p *Pool) popIdle(address string) *clientConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
-	}
-	conn := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	if time.Now().After(conn.expiresAt) {
-		// The other idle connections to the address were used even earlier.
-		p.closeIdleLocked(address)
-		_ = conn.conn.Close()
-		return nil
-	}
-	return conn
-}
-
-func (p *Pool) pushIdle(conn *clientConn) {
-	latestExpiry := time.Now().Add(p.options.IdleTimeout)
-	if conn.expiresAt.IsZero() || conn.expiresAt.After(latestExpiry) {
-		conn.expiresAt = latestExpiry
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[conn.address] = append(p.idle[conn.address], conn)
-}
-
-// CloseExpired closes idle connections that have expired or received data. Call it
-// periodically, about every second.
-func (p *Pool) CloseExpired() {
-	for _, address := range p.removeExpired(time.Now()) {
-		if p.options.OnLost != nil {
-			p.options.OnLost(address)
-		}
-	}
-}
-
-// removeExpired does the work of CloseExpired. It returns the addresses of peers that
-// have closed connections before they expired.
-func (p *Pool) removeExpired(now time.Time) (lost []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, conns := range p.idle {
-		remaining := conns[:0]
-		for _, conn := range conns {
-			expired := now.After(conn.expiresAt)
-			if !expired && conn.conn.Idle() {
-				remaining = append(remaining, conn)
-				continue
-			}
-			_ = conn.conn.Close()
-			if !expired && !slices.Contains(lost, address) {
-				lost = append(lost, address)
-			}
-		}
-		if len(remaining) == 0 {
-			delete(p.idle, address)
-			continue
-		}
-		p.idle[address] = remaining
-	}
-	return lost
-}
-
-// CloseIdleTo closes the idle connections to the address.
-func (p *Pool) CloseIdleTo(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeIdleLocked(address)
-}
-
-// closeIdleLocked closes the idle connections to the address. The caller holds mu.
-func (p *Pool) closeIdleLocked(address string) {
-	for _, conn := range p.idle[address] {
-		_ = conn.conn.Close()
-	}
-	delete(p.idle, address)
-}
-
-// CloseIdle closes all idle connections.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address := range p.idle {
-		p.closeIdleLocked(address)
-	}
-}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -78,7 +78,7 @@
 	is := is.New(t)
 	local := &fakeBackend{response: &http1.Response{Status: 201, Header: http.Header{"X-Stamp": {"s"}, "Connection": {"close"}}, Body: []byte("done")}}
 	call := Call{
-		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true, Expected: 250 * time.Millisecond,
+		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true, OfRequest: true, Expected: 250 * time.Millisecond,
 		Limit: announcement.Limit{Announced: true, Rate: 27.6}, LimitAge: 1500 * time.Millisecond,
 	}
 	response, refused, reports := send(t, local, call, http.Header{"X-Id": {"1"}, "Marjoramsaddle-Rank": {"0"}})
@@ -102,12 +102,14 @@
 func TestRefusalKeepsItsOutcome(t *testing.T) {
 	for _, want := range []*refusal.Error{
 		refusal.New(refusal.QueueFull, refusal.NotRun), refusal.New(refusal.BackendBroken, refusal.Unknown),
+		{Reason: refusal.ServerCold, Outcome: refusal.NotRun, RetryAfter: 90 * time.Millisecond},
 	} {
 		t.Run(want.Reason.String(), func(t *testing.T) {
 			is := is.New(t)
 			_, refused, reports := send(t, &fakeBackend{refused: want}, Call{Server: "i-1", Left: time.Second}, http.Header{})
 			is.Equal(refused.Reason, want.Reason)
 			is.Equal(refused.Outcome, want.Outcome)
+			is.Equal(refused.RetryAfter, want.RetryAfter)
 			is.Equal(len(reports), 1)
 		})
 	}
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -317,3 +317,35 @@
 		})
 	}
 }
+
+// Guards against requests to a cold backend server at which nothing listens that wait for
+// its rate, and against such a loss of the process that is not reported.
+func TestNothingListensAtColdServer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(http.ResponseWriter, *http.Request) {})
+	s.options.Address = "127.0.0.1:1"
+	lost := 0
+	s.options.ConnectionLost = func() { lost++ }
+	s.SetColdStart(20, s.options.Now().Add(time.Minute))
+	_, refused := sendGet(s, newCall())
+	is.Equal(refused.Reason, refusal.ConnectFailed)
+	is.Equal(lost, 1)
+	_, refused = sendGet(s, newCall())
+	is.Equal(refused.Reason, refusal.ConnectFailed)
+	is.Equal(refused.Outcome, refusal.NotRun)
+	is.Equal(lost, 1)
+}
+
+// Guards against a load report that states the slots of a cold server as its capacity.
+func TestLoadOfColdServer(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, func(http.ResponseWriter, *http.Request) {})
+	s.SetCurrent(backend.Server{ID: "i-1", Slots: 6}, true)
+	is.Equal(s.Load().Slots, 6)
+	s.SetColdStart(11, s.options.Now().Add(time.Minute))
+	is.Equal(s.Load().Slots, 1)
+	s.service.mean = 250 * time.Millisecond
+	is.Equal(s.Load().Slots, 2)
+	s.SetColdStart(11, s.options.Now())
+	is.Equal(s.Load().Slots, 6)
+}
