--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -48,6 +49,8 @@
 	awaitCurrent func(ctx context.Context)
 	// admit is Options.Admit unless it is nil.
 	admit func(work shutdown.Work) (id.Instant, bool)
+	// rateLimited is set in all choices.
+	rateLimited bool
 	// parent is the request of the local backend server that makes all requests, or nil.
 	parent ParentRequest
 }
@@ -67,7 +70,7 @@
 			excluded = excluded || other == name
 		}
 		if !excluded {
-			return placement.Choice{Server: backend.Server{ID: name}}, true
+			return placement.Choice{Server: backend.Server{ID: name}, RateLimited: e.rateLimited}, true
 		}
 	}
 	return placement.Choice{}, false
@@ -182,6 +185,7 @@
 		return outcome{refused: refusal.New(reason, known)}
 	}
 	full := refused(refusal.QueueFull, refusal.NotRun)
+	cold := refused(refusal.ServerCold, refusal.NotRun)
 	shed := refused(refusal.BackendShed, refusal.NotRun)
 	lost := refused(refusal.BackendBroken, refusal.Unknown)
 	served := outcome{status: 200}
@@ -196,6 +200,8 @@
 		{"served", "/orders/", []outcome{served}, 200, 1},
 		{"full, then served", "/orders/", []outcome{full, full, served}, 200, 3},
 		{"full everywhere", "/orders/", []outcome{full}, 503, maxAttempts},
+		{"cold everywhere", "/orders/", []outcome{cold}, 503, noWaitAttempts + maxColdRefusals},
+		{"cold, then served", "/orders/", []outcome{cold, cold, cold, served}, 200, 4},
 		{"shed, then served", "/orders/", []outcome{shed, served}, 200, 2},
 		{"shed twice", "/orders/", []outcome{shed, shed, served}, 503, 2},
 		{"order lost", "/orders/", []outcome{lost, served}, 502, 1},
@@ -227,6 +233,27 @@
 	}
 }
 
+// Guards against many times the messages when all servers are cold, against requests that
+// a cold server refuses because they may not wait, and against a time to retry at which
+// no server has capacity.
+func TestColdServersAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	cold := func(after time.Duration) outcome {
+		return outcome{refused: &refusal.Error{Reason: refusal.ServerCold, Outcome: refusal.NotRun, RetryAfter: after}}
+	}
+	e, handler := newEnvironment(t, cold(900*time.Millisecond), cold(800*time.Millisecond))
+	e.rateLimited = true
+	response := handler.Serve(context.Background(), newRequest(http.MethodGet, "/orders/", ""))
+	is.Equal(len(e.calls), maxColdRefusals)
+	for _, call := range e.calls {
+		is.True(!call.NoWait)
+		is.True(!call.OfRequest)
+	}
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(seconds >= 0.8 && seconds <= 1.6)
+}
+
 // Guards against unlimited retries while all backend servers fail.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	is := is.New(t)
