io/ingress, core/placement: only known cold servers end the attempts of a request

Cause: a request that two cold servers had refused was refused although warm servers of the service had room, and one at the only server was refused as no_endpoint without a time to retry at. Ruled out: taking the entry for more than the load report, which the daemon beside the server makes from its health checks. TestEntryIsRecordedOnce fails when each passed-on entry is recorded.

--- a/core/admission/coldload_test.go
+++ b/core/admission/coldload_test.go
@@ -214,7 +214,7 @@
 func (w *simulation) attempt(r *simulatedRequest, chooser *placement.Chooser) {
 	choice, _ := chooser.Choose(placement.Request{Service: "counter", Now: w.now, Exclude: r.exclude})
 	index := slices.IndexFunc(w.servers, func(s *simulatedServer) bool { return s.listed.ID == choice.Server.ID })
-	if index < 0 {
+	if index < 0 || r.coldRefusals >= 2 && choice.RateLimited {
 		r.rejected = true
 		return
 	}
@@ -243,7 +243,7 @@
 		if !r.noWait {
 			r.exclude = append(r.exclude, choice.Server.ID)
 		}
-		if r.rejected = r.attempts >= 5 || r.coldRefusals >= 2; !r.rejected {
+		if r.rejected = r.attempts >= 5; !r.rejected {
 			w.attempt(r, chooser)
 		}
 	})
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -98,6 +98,21 @@
 	return time.Duration(failureCost * s.report.FailureRate * float64(service))
 }
 
+// rateLimited reports whether the server is probably cold. The daemon beside it knows best,
+// and reports fewer slots than the server has.
+func (s *serverState) rateLimited(now id.Instant) bool {
+	switch {
+	case s.server.ColdRate <= 0:
+		return false
+	case now.Before(s.rateLimitedUntil):
+		return true
+	case s.hasCurrentReport(now):
+		return s.report.Slots < s.server.Slots
+	default:
+		return now.Before(s.server.ColdUntil)
+	}
+}
+
 // estimate returns the expected latency of a request at the backend server.
 func (c *Chooser) estimate(state *serverState, request *Request) Choice {
 	service := c.serviceTime(state)
@@ -131,6 +146,6 @@
 	}
 	return Choice{
 		Server: state.server, Expected: expected, QueueWait: wait,
-		RateLimited: request.Now.Before(state.rateLimitedUntil) || state.server.ColdRate > 0 && request.Now.Before(state.server.ColdUntil),
+		RateLimited: state.rateLimited(request.Now),
 	}
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -211,3 +211,27 @@
 	is.Equal(choose(t, c, Request{Now: later}, 50)["warm"], 50)
 	is.True(choose(t, c, Request{Now: later.Add(200 * time.Millisecond)}, 50)["cold"] > 0)
 }
+
+// Guards against requests that look for a free slot at a server whose daemon says that it
+// is cold, and against requests that wait at one that the daemon knows to be warm.
+func TestRateLimitedChoice(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	limited := func(listed backend.Server, reportedSlots int) bool {
+		c := New("reduit", 1)
+		c.SetServers([]backend.Server{listed})
+		if reportedSlots > 0 {
+			c.Report(Report{Server: listed.ID, Slots: reportedSlots, At: now})
+		}
+		choice, _ := c.Choose(Request{Service: service, Now: now})
+		return choice.RateLimited
+	}
+	cold := server("i-1", "reduit")
+	cold.ColdUntil = now.Add(time.Second)
+	is.True(!limited(cold, 0)) // without a rate
+	is.True(!limited(cold, 1))
+	cold.ColdRate = 11
+	is.True(limited(cold, 0))
+	is.True(!limited(cold, cold.Slots))
+	is.True(limited(cold, 1))
+}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -21,8 +21,8 @@
 	// queued, to find a backend server with a free slot.
 	noWaitAttempts = 2
 	// maxColdRefusals is the number of cold backend servers that refuse a request that
-	// would wait for them, after which the request is refused. When all servers are cold
-	// after a power loss, further attempts would only multiply the messages.
+	// would wait for them, after which it is sent to no other cold one. When all servers
+	// are cold after a power loss, further attempts would only multiply the messages.
 	maxColdRefusals = 2
 )
 
@@ -99,10 +99,8 @@
 	switch refused.Reason {
 	case refusal.CallerGone, refusal.DeadlinePassed, refusal.BadRequest, refusal.BodyTooLarge:
 		return false
-	case refusal.ServerCold:
-		return j.coldRefusals < maxColdRefusals && h.options.Now().Before(j.deadline)
 	default:
-		return h.options.Now().Before(j.deadline)
+		return !j.coldEverywhere && h.options.Now().Before(j.deadline)
 	}
 }
 
@@ -125,6 +123,10 @@
 	choice, found := h.options.Chooser.Choose(placement.Request{
 		Service: j.service, Large: j.route.Large, Now: now, Exclude: j.exclude, Local: h.options.Local(),
 	})
+	if j.coldRefusals > 0 && (!found || choice.RateLimited && j.coldRefusals >= maxColdRefusals) {
+		j.coldEverywhere = true
+		return nil, refusal.New(refusal.ServerCold, refusal.NotRun)
+	}
 	if !found {
 		return nil, refusal.Wrap(refusal.NoEndpoint, refusal.NotRun, errNoServer)
 	}
--- a/io/ingress/ingress.go
+++ b/io/ingress/ingress.go
@@ -201,6 +201,8 @@
 	// and retryAfter is the time until the first of them has capacity.
 	coldRefusals int
 	retryAfter   time.Duration
+	// coldEverywhere is set once only cold servers remain that would refuse it, too.
+	coldEverywhere bool
 }
 
 // origin returns where the request comes from.
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -200,7 +200,7 @@
 		{"served", "/orders/", []outcome{served}, 200, 1},
 		{"full, then served", "/orders/", []outcome{full, full, served}, 200, 3},
 		{"full everywhere", "/orders/", []outcome{full}, 503, maxAttempts},
-		{"cold everywhere", "/orders/", []outcome{cold}, 503, noWaitAttempts + maxColdRefusals},
+		{"cold everywhere", "/orders/", []outcome{cold}, 503, maxAttempts},
 		{"cold, then served", "/orders/", []outcome{cold, cold, cold, served}, 200, 4},
 		{"shed, then served", "/orders/", []outcome{shed, served}, 200, 2},
 		{"shed twice", "/orders/", []outcome{shed, shed, served}, 503, 2},
--- a/sidecar/coldstart_test.go
+++ b/sidecar/coldstart_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/platform/platformtest"
 )
@@ -204,3 +206,30 @@
 	f.eventually(func() bool { return f.call(h, http.MethodGet, "/stock/1", "back").Status == http.StatusOK })
 	f.eventually(func() bool { return h.daemon.coldWatch.left() == 0 })
 }
+
+// Guards against an entry that lengthens the cold time each time it is passed on again
+// after another change, or that the store sends again.
+func TestEntryIsRecordedOnce(t *testing.T) {
+	is := is.New(t)
+	d := newIdleDaemon(t)
+	put := func(revision mirror.Revision, key string, value any) {
+		data, err := json.Marshal(value)
+		is.NoErr(err)
+		d.storeState.apply([]mirror.Item{{Key: key, Revision: revision, Value: data}})
+	}
+	listed := platformtest.Backend{Name: "i-1", Service: "counter", Address: "127.0.0.1:3"}
+	listed.SetCold(coldTime)
+	configuration := platformtest.Configuration("r1", []string{"counter"}, platformtest.Route("stock", "/stock/", "safe", "counter", time.Second, 1))
+	put(1, platformtest.ConfigurationKey, platformtest.WithColdStart(configuration, coldTime, coldRate))
+	entry := listed.Entry("reduit", "ready", 4)
+	put(2, platformtest.ServerPrefix+listed.Name, entry)
+	d.coldWatch.state.Checked(d.now())
+	d.coldWatch.state.Answered(d.coldWatch.server.Process(), 0, d.now())
+	until := d.coldWatch.state.Until()
+	time.Sleep(10 * time.Millisecond)
+	put(3, platformtest.ServerPrefix+"i-2", (&platformtest.Backend{Service: "counter", Address: "127.0.0.2:3"}).Entry("reduit", "ready", 4))
+	put(4, platformtest.ServerPrefix+listed.Name, entry)
+	is.Equal(d.coldWatch.state.Until(), until)
+	put(5, platformtest.ServerPrefix+listed.Name, listed.Entry("reduit", "ready", 4))
+	is.True(d.coldWatch.state.Until() >= until)
+}
