--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/refusal"
@@ -101,3 +102,41 @@
 	_, _, reason := gate.tryAcquireWork(warm, Work{Deadline: warm.Add(time.Minute), QueueDeadline: warm})
 	is.Equal(reason, refusal.ServerCold)
 }
+
+// Guards against grants above the rate of a cold server in any span of time, whatever the
+// order of calls and of reports on the cold time.
+func TestColdRateHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		gate, now := NewGate(50, 50), coldNow
+		rate := rapid.Float64Range(1, 40).Draw(t, "rate")
+		until := now
+		// grants holds the grants of the present cold time.
+		var grants []id.Instant
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond / 10)
+			if !now.Before(until) {
+				grants = nil
+			}
+			if rapid.IntRange(0, 9).Draw(t, "report") == 0 {
+				until = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "left")) * time.Millisecond)
+				gate.SetColdStart(now, id.RequestRate(rate), until)
+			}
+			ticket, _, reason := gate.tryAcquireWork(now, Work{Deadline: now.Add(time.Minute), QueueDeadline: now})
+			switch {
+			case ticket != nil:
+				ticket.Release(now)
+				grants = append(grants, now)
+			case reason != refusal.ServerCold || !now.Before(until):
+				t.Fatalf("refused as %v", reason)
+			}
+			if !now.Before(until) {
+				continue
+			}
+			for i, first := range grants {
+				if allowed := rate*now.Sub(first).Seconds() + max(1, rate*burstTime.Seconds()); float64(len(grants)-i) > allowed+1e-6 {
+					t.Fatalf("%d grants in %v at a rate of %v", len(grants)-i, now.Sub(first), rate)
+				}
+			}
+		}
+	})
+}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -135,7 +135,7 @@
 	call := relay.Call{
 		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
 		Aim: j.route.Aim, NoWait: number <= noWaitAttempts && !choice.RateLimited, Large: j.route.Large,
-		OfRequest: j.parent != nil, Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
+		OfRequest: j.parent != nil && choice.Server.ColdRate > 0, Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
 	}
 	response, refused := h.send(ctx, j, &choice.Server, call)
 	h.recordCalls(j, response, refused)
