--- a/io/server/coldstart.go
+++ b/io/server/coldstart.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"syscall"
 	"time"
@@ -37,17 +36,6 @@
 	s.gate.SetColdStart(s.options.Now(), rate, until)
 }
 
-// coldCapacity limits the slots to those in use when requests of the given service time
-// arrive at the rate that the cold backend server tolerates.
-func (s *Server) coldCapacity(slots int, service time.Duration, now id.Instant) int {
-	cold := s.coldStart.Load()
-	if !cold.limits(now) {
-		return slots
-	}
-	inUse := math.Floor(float64(cold.rate) * service.Seconds())
-	return int(max(1, min(float64(slots), inUse)))
-}
-
 // CheckHealth sends a health check, which takes a slot like any request, and returns the
 // response.
 func (s *Server) CheckHealth(ctx context.Context, path string, header http.Header) (*http1.Response, error) {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -189,7 +189,10 @@
 	report.Service = max(s.service.mean, s.inProgress.meanAge(report.At))
 	report.FailureRate = s.failures.Value(report.At)
 	s.mu.Unlock()
-	report.Slots = s.coldCapacity(s.usableSlots(report.Slots, report.Service), report.Service, report.At)
+	report.Slots = s.usableSlots(report.Slots, report.Service)
+	if s.coldStart.Load().limits(report.At) {
+		report.Slots = min(report.Slots, current.ColdCapacity(report.Service))
+	}
 	return report
 }
 
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -342,7 +342,7 @@
 func TestLoadOfColdServer(t *testing.T) {
 	is := is.New(t)
 	s := newServer(t, func(http.ResponseWriter, *http.Request) {})
-	s.SetCurrent(backend.Server{ID: "i-1", Slots: 6}, true)
+	s.SetCurrent(backend.Server{ID: "i-1", Slots: 6, ColdRate: 11}, true)
 	is.Equal(s.Load().Slots, 6)
 	s.SetColdStart(11, s.options.Now().Add(time.Minute))
 	is.Equal(s.Load().Slots, 1)
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -185,7 +185,9 @@
 	local, listed := s.servers.ByAddress(s.d.settings.Load().BackendAddress, isUsable)
 	s.applyLeaving(&local)
 	s.applyEvacuation(&local)
-	s.d.coldWatch.update(&local, listed, configured(table, local.Service))
+	service := configured(table, local.Service)
+	local.ColdRate = service.ColdRate
+	s.d.coldWatch.update(&local, listed, service)
 	s.d.localBackend.SetCurrent(local, listed)
 	s.d.applyLimit()
 }
