--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -189,3 +189,49 @@
 	is.Equal(choose(t, c, Request{Now: now}, 20)["grey"], 20)
 	is.Equal(c.servers["grey"].failureCost(100*time.Millisecond, now.Add(reportTTL)), time.Duration(0))
 }
+
+// Guards against many times the rate of a cold server being sent to it, before its daemon
+// has reported and after it has refused a request.
+func TestColdServerHasLittleCapacity(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	c := New("reduit", 1)
+	cold, warm := server("cold", "reduit"), server("warm", "reduit")
+	cold.ColdRate, warm.ColdRate, cold.ColdUntil = 11, 11, now.Add(3*time.Second)
+	c.SetServers([]backend.Server{cold, warm})
+	for range 2 {
+		c.Started("cold", now)
+		c.Started("warm", now)
+	}
+	// Each has ten slots, of which the rate of the cold server fills one.
+	is.Equal(choose(t, c, Request{Now: now}, 50)["warm"], 50)
+	later := now.Add(4 * time.Second)
+	is.True(choose(t, c, Request{Now: later}, 50)["cold"] > 0)
+	c.RefusedCold("cold", later.Add(100*time.Millisecond), later)
+	is.Equal(choose(t, c, Request{Now: later}, 50)["warm"], 50)
+	is.True(choose(t, c, Request{Now: later.Add(200 * time.Millisecond)}, 50)["cold"] > 0)
+}
+
+// Guards against requests that look for a free slot at a server whose daemon says that it
+// is cold, and against requests that wait at one that the daemon knows to be warm.
+func TestRateLimitedChoice(t *testing.T) {
+	is := is.New(t)
+	now := id.Instant(time.Hour)
+	limited := func(listed backend.Server, reportedSlots int) bool {
+		c := New("reduit", 1)
+		c.SetServers([]backend.Server{listed})
+		if reportedSlots > 0 {
+			c.Report(Report{Server: listed.ID, Slots: reportedSlots, At: now})
+		}
+		choice, _ := c.Choose(Request{Service: service, Now: now})
+		return choice.RateLimited
+	}
+	cold := server("i-1", "reduit")
+	cold.ColdUntil = now.Add(time.Second)
+	is.True(!limited(cold, 0)) // without a rate
+	is.True(!limited(cold, 1))
+	cold.ColdRate = 11
+	is.True(limited(cold, 0))
+	is.True(!limited(cold, cold.Slots))
+	is.True(limited(cold, 1))
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -126,6 +126,9 @@
 	DialControl func(network, address string, conn syscall.RawConn) error
 	// OnDial is called after each new connection. It may be nil.
 	OnDial func(address string)
+	// OnLost is called when the peer has closed an idle connection before it expired. It
+	// may be nil.
+	OnLost func(address string)
 }
 
 // Pool sends requests over keep-alive connections, one at a time on each. It
@@ -395,6 +398,7 @@
 			conn.reused = true
 			return conn, nil
 		}
+		p.reportLost(conn)
 		_ = conn.conn.Close()
 	}
 	inner, err := p.dialer.DialContext(ctx, "tcp", address)
@@ -412,80 +416,3 @@
 		writer: bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
-
-// popIdle removes and returns the most recently used idle connection, or returns
-// nil if there is none or it has expired.
-func (p *Pool) popIdle(address string) *clientConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
-	}
-	conn := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	if time.Now().After(conn.expiresAt) {
-		// The other idle connections to the address were used even earlier.
-		p.closeIdleLocked(address)
-		_ = conn.conn.Close()
-		return nil
-	}
-	return conn
-}
-
-func (p *Pool) pushIdle(conn *clientConn) {
-	latestExpiry := time.Now().Add(p.options.IdleTimeout)
-	if conn.expiresAt.IsZero() || conn.expiresAt.After(latestExpiry) {
-		conn.expiresAt = latestExpiry
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[conn.address] = append(p.idle[conn.address], conn)
-}
-
-// CloseExpired closes idle connections that have expired or received data. Call it
-// periodically, about every second.
-func (p *Pool) CloseExpired() {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, conns := range p.idle {
-		remaining := conns[:0]
-		for _, conn := range conns {
-			if now.After(conn.expiresAt) || !conn.conn.Idle() {
-				_ = conn.conn.Close()
-				continue
-			}
-			remaining = append(remaining, conn)
-		}
-		if len(remaining) == 0 {
-			delete(p.idle, address)
-			continue
-		}
-		p.idle[address] = remaining
-	}
-}
-
-// CloseIdleTo closes the idle connections to the address.
-func (p *Pool) CloseIdleTo(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeIdleLocked(address)
-}
-
-// closeIdleLocked closes the idle connections to the address. The caller holds mu.
-func (p *Pool) closeIdleLocked(address string) {
-	for _, conn := range p.idle[address] {
-		_ = conn.conn.Close()
-	}
-	delete(p.idle, address)
-}
-
-// CloseIdle closes all idle connections.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address := range p.idle {
-		p.closeIdleLocked(address)
-	}
-}
