io/http1: a peer counts as lost once all its idle connections are closed

Cause: a backend server that only drops idle connections early would have been held at its cold rate for the time of a health check each time. Ruled out: no report at all: a restart between two requests would go unseen until the entry of the new process arrives. Before: one closed connection of several was reported. After: go test -race -count=10 ./io/http1 -run 'Lost|Dropped|Reuse|Idle' passes.

--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -402,3 +403,46 @@
 	}
 	is.Equal(lost.Load(), int64(1))
 }
+
+// Guards against a peer that drops some of its idle connections being taken for one that
+// has ended.
+func TestDroppedIdleConnectionIsNotReported(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int64
+	drop := make(chan struct{})
+	address := startPeer(t, func(conn net.Conn, reader *bufio.Reader) {
+		number := conns.Add(1)
+		for conns.Load() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = io.WriteString(conn, responseText("1", "body"))
+		if number == 1 {
+			<-drop
+			return
+		}
+		_, _ = reader.ReadByte()
+	})
+	var lost atomic.Int64
+	pool := newPool(t, nil)
+	pool.options.OnLost = func(string) { lost.Add(1) }
+	var requests sync.WaitGroup
+	for range 2 {
+		requests.Go(func() {
+			_, err := pool.Do(context.Background(), address, getRequest("1"))
+			is.NoErr(err)
+		})
+	}
+	requests.Wait()
+	close(drop)
+	idle := func() int {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return len(pool.idle[address])
+	}
+	for deadline := time.Now().Add(testTimeout); idle() > 1 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+		pool.CloseExpired()
+	}
+	is.Equal(idle(), 1)
+	is.Equal(lost.Load(), int64(0))
+}
--- a/io/http1/idle.go
+++ b/io/http1/idle.go
@@ -35,42 +35,43 @@
 // CloseExpired closes idle connections that have expired or received data. Call it
 // periodically, about every second.
 func (p *Pool) CloseExpired() {
-	for _, conn := range p.removeExpired(time.Now()) {
-		p.reportLost(conn)
-		_ = conn.conn.Close()
+	for _, address := range p.removeExpired(time.Now()) {
+		p.reportLost(address)
 	}
 }
 
-// removeExpired removes the connections that CloseExpired closes. It closes those that
-// have expired and returns the others.
-func (p *Pool) removeExpired(now time.Time) (broken []*clientConn) {
+// removeExpired does the work of CloseExpired. It returns the addresses of the peers that
+// have closed all idle connections.
+func (p *Pool) removeExpired(now time.Time) (lost []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
-		remaining := conns[:0]
+		remaining, closed := conns[:0], false
 		for _, conn := range conns {
-			switch {
-			case now.After(conn.expiresAt):
-				_ = conn.conn.Close()
-			case conn.conn.Idle():
+			expired := now.After(conn.expiresAt)
+			if !expired && conn.conn.Idle() {
 				remaining = append(remaining, conn)
-			default:
-				broken = append(broken, conn)
+				continue
 			}
+			closed = closed || !expired && conn.conn.Err() != nil
+			_ = conn.conn.Close()
 		}
-		if len(remaining) == 0 {
-			delete(p.idle, address)
+		if len(remaining) > 0 {
+			p.idle[address] = remaining
 			continue
 		}
-		p.idle[address] = remaining
+		delete(p.idle, address)
+		if closed {
+			lost = append(lost, address)
+		}
 	}
-	return broken
+	return lost
 }
 
-// reportLost calls Options.OnLost if the peer has closed the idle connection.
-func (p *Pool) reportLost(conn *clientConn) {
-	if p.options.OnLost != nil && conn.conn.Err() != nil {
-		p.options.OnLost(conn.address)
+// reportLost calls Options.OnLost if it is set.
+func (p *Pool) reportLost(address string) {
+	if p.options.OnLost != nil {
+		p.options.OnLost(address)
 	}
 }
 
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -126,8 +126,8 @@
 	DialControl func(network, address string, conn syscall.RawConn) error
 	// OnDial is called after each new connection. It may be nil.
 	OnDial func(address string)
-	// OnLost is called when the peer has closed an idle connection before it expired. It
-	// may be nil.
+	// OnLost is called when the peer has closed all idle connections to an address before
+	// they expired. While one is left, the peer has only dropped the others. It may be nil.
 	OnLost func(address string)
 }
 
@@ -389,6 +389,7 @@
 // getConn returns the most recently used idle connection, or dials a new one if there is
 // none or forceNew is set.
 func (p *Pool) getConn(ctx context.Context, address string, forceNew bool) (*clientConn, error) {
+	lost := false
 	for !forceNew {
 		conn := p.popIdle(address)
 		if conn == nil {
@@ -398,9 +399,12 @@
 			conn.reused = true
 			return conn, nil
 		}
-		p.reportLost(conn)
+		lost = lost || conn.conn.Err() != nil
 		_ = conn.conn.Close()
 	}
+	if lost {
+		p.reportLost(address)
+	}
 	inner, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
