--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -1,13 +1,15 @@
 // Package admission limits the calls that reach the backend server of this host.
 //
 // A Gate grants as many tickets as the backend server has slots, at no higher rate than
-// the server accepts (see SetLimit), queues the calls that get none, and refuses those
+// the server accepts (see SetLimit) or tolerates while it is cold (see SetColdStart), queues the calls that get none, and refuses those
 // that would wait too long. Every refusal happens before a byte of the request is sent,
 // so its outcome is not_run.
 //
 // The queue is bounded in length and in time. Calls are served by class (order, lookup,
 // internal) and in order of arrival within a class; every eighth slot goes to the call
-// with the earliest queue deadline, regardless of class. A call is refused on arrival if
+// with the earliest queue deadline, regardless of class. At a cold server there are far
+// fewer slots than calls, so the order is strict, and calls of running requests precede
+// others of their class. A call is refused on arrival if
 // the calls ahead of it, at the measured service time, would delay it past its queue
 // deadline. A queued call must also leave enough time before its deadline for the
 // measured service time and its deviation, because a late response is wasted work.
