io/lane, io/relay: requests between hosts count towards the rate of the link

Cause: on hosts with slow links, requests to other daemons, headers and refusals came on top of the paced rate, so all messages waited 0.3 to 0.5 s in the link; calls were late and held the slots of their parents. TestOrdersBesideDownloadsOnSlowLink fails without the count.

--- a/io/lane/pacer.go
+++ b/io/lane/pacer.go
@@ -24,6 +24,9 @@
 	// LargeBody is the size in bytes above which a body is paced. Lookups and orders
 	// of both users have up to 30 KB, downloads 90 KB on average.
 	LargeBody = 32 << 10
+	// messageOverhead is about the size in bytes of a response's header and of the packet
+	// headers around it.
+	messageOverhead = 400
 	// chunkDuration is the time that one chunk of a large body takes on the link, and
 	// so the delay that it may cause to other messages. minChunkBytes is the lower
 	// limit of the chunk size.
@@ -67,12 +70,22 @@
 // HostLink returns the link on which the large bodies are booked.
 func (p *Pacer) HostLink() *link.Link { return p.hostLink }
 
+// Count makes large bodies leave room for a message with a body of the given size that is
+// sent without waiting. On slow links the requests to other daemons take a quarter of the
+// link; if they come on top of the paced rate, everything waits in the link.
+func (p *Pacer) Count(bodyBytes int) {
+	now := time.Now()
+	for left := bodyBytes + messageOverhead; left > 0; left -= LargeBody {
+		p.limiter.ReserveN(now, min(left, LargeBody))
+	}
+}
+
 // Write writes a body, at once if it is small, otherwise paced and after acquiring a
 // slot. The bytes of small bodies count towards the rate of the large ones. The
 // booking may be nil.
 func (p *Pacer) Write(ctx context.Context, out io.Writer, body []byte, booking *link.Booking) error {
 	if len(body) <= LargeBody {
-		p.limiter.ReserveN(time.Now(), len(body))
+		p.Count(len(body))
 		_, err := out.Write(body)
 		return err
 	}
--- a/io/lane/pacer_test.go
+++ b/io/lane/pacer_test.go
@@ -122,3 +122,20 @@
 	is.True(time.Since(began) < slotTimeMargin+2*time.Second)
 	is.Equal(hostLink.Wait(), time.Duration(0))
 }
+
+// Guards against requests to other hosts that come on top of the rate of large bodies. On
+// a link of 10 Mbit/s, orders of 4 KB that are offered to several hosts filled what the
+// downloads left, and all calls then waited half a second in the link.
+func TestOrdersBesideDownloadsOnSlowLink(t *testing.T) {
+	is := is.New(t)
+	const limit, orders, orderBytes = 1_000_000, 50, 4_000
+	p := New(link.New(limit), limit)
+	is.NoErr(p.Write(t.Context(), io.Discard, make([]byte, 2*LargeBody), nil)) // uses up the burst
+	began := time.Now()
+	for range orders {
+		p.Count(orderBytes)
+	}
+	is.NoErr(p.Write(t.Context(), io.Discard, make([]byte, 2*LargeBody), nil))
+	// The second download also has to wait for the bytes of the orders.
+	is.True(time.Since(began) >= (orders*orderBytes+LargeBody)*time.Second/limit)
+}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -18,11 +18,14 @@
 	port string
 	// report receives the load report of each response.
 	report func(placement.Report)
+	// sending is called with the size of the body of each request.
+	sending func(bodyBytes int)
 }
 
-// NewClient returns a client. Daemons listen on the same port on every host.
-func NewClient(pool *http1.Pool, port string, report func(placement.Report)) *Client {
-	return &Client{pool: pool, port: port, report: report}
+// NewClient returns a client. Daemons listen on the same port on every host. The function
+// sending is called with the size of the body of each request that is sent.
+func NewClient(pool *http1.Pool, port string, report func(placement.Report), sending func(bodyBytes int)) *Client {
+	return &Client{pool: pool, port: port, report: report, sending: sending}
 }
 
 // Address returns the address of the daemon on the backend server's host.
@@ -44,6 +47,7 @@
 	outgoing := *request
 	outgoing.Header = request.Header.Clone()
 	call.write(outgoing.Header)
+	c.sending(len(outgoing.Body))
 	response, err := c.pool.Do(ctx, address, &outgoing)
 	if err != nil {
 		return nil, refusalFor(ctx, err)
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -119,6 +119,7 @@
 	header.Set(headerLoad, formatLoad(h.local.Load()))
 	writeRetryAfter(header, refused.RetryAfter)
 	header.Set("Content-Length", "0")
+	h.lane.Count(0)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -66,7 +66,7 @@
 	address := strings.TrimPrefix(daemon.URL, "http://")
 	host, port, _ := strings.Cut(address, ":")
 	var reports []placement.Report
-	client := NewClient(pool, port, func(report placement.Report) { reports = append(reports, report) })
+	client := NewClient(pool, port, func(report placement.Report) { reports = append(reports, report) }, func(int) {})
 	response, refused := client.Do(context.Background(), &backend.Server{ID: "i-1", Address: host + ":1"}, call,
 		&http1.Request{Method: http.MethodPost, Target: "/a?b", Host: "shop", Header: header, Body: []byte("crate")})
 	return response, refused, reports
@@ -130,7 +130,7 @@
 	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
 	defer pool.CloseIdle()
 	host, port, _ := strings.Cut(strings.TrimPrefix(foreign.URL, "http://"), ":")
-	_, refused := NewClient(pool, port, nil).Do(context.Background(), &backend.Server{ID: "i-1", Address: host + ":1"},
+	_, refused := NewClient(pool, port, nil, func(int) {}).Do(context.Background(), &backend.Server{ID: "i-1", Address: host + ":1"},
 		Call{Server: "i-1"}, &http1.Request{Method: http.MethodGet, Target: "/", Host: "shop", Header: http.Header{}})
 	is.Equal(refused.Reason, refusal.HopBroken)
 	is.Equal(refused.Outcome, refusal.Unknown)
@@ -188,7 +188,7 @@
 	defer pool.CloseIdle()
 	host, port, _ := strings.Cut(strings.TrimPrefix(daemon.URL, "http://"), ":")
 	var latest placement.Report
-	client := NewClient(pool, port, func(report placement.Report) { latest = report })
+	client := NewClient(pool, port, func(report placement.Report) { latest = report }, func(int) {})
 	do := func(call Call) *refusal.Error {
 		call.Server, call.Left = "i-1", 4*time.Second
 		_, refused := client.Do(context.Background(), &backend.Server{ID: "i-1", Address: host + ":1"}, call,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -78,9 +78,9 @@
 	// callerDescriptorShare is the share of the process's file descriptors for client
 	// connections. The rest is for other daemons, the backend server and the store.
 	callerDescriptorShare = 0.5
-	// pacedLinkShare is the share of the host's link for large responses. The rest is
-	// for requests, headers, beacons and acknowledgements.
-	pacedLinkShare = 0.85
+	// pacedLinkShare is the share of the host's link for large responses and all other
+	// messages of requests. The rest is for beacons, changes and acknowledgements.
+	pacedLinkShare = 0.95
 )
 
 // Daemon is the process that runs beside one backend server. It is created by New and
@@ -197,7 +197,7 @@
 		ConnectionLost: func() { d.coldWatch.connectionLost() },
 	})
 	d.coldWatch = newColdWatch(d)
-	d.relay = relay.NewClient(d.hopPool, hopPort, d.report)
+	d.relay = relay.NewClient(d.hopPool, hopPort, d.report, d.lane.Count)
 	d.peerClient = control.NewClient(d.controlPool)
 	d.members = newMembers(settings, d.now)
 	d.retryBudget = retry.NewFleetBudget(d.retryLimits)
