io/http1, io/relay, sidecar: reserve what requests, responses and connections hold

Cause: bodies, headers, pipelined requests and unread responses are bounded each, not together (docs/hard-load.md, part 3). Ruled out: waiting for room with an incomplete body, since bodies could then wait for each other; evicting complete requests. Before: bodies up to 256 KB were read with doubling buffers and copied again by relay.NewRequest; a body that stopped while it was streamed held its slot until the request's deadline. TestEarlyResponseToLongBody sets a body limit above the new size; its checks are the same. The daemon under hostile clients is not measured yet.

--- a/core/holdings/eviction.go
+++ b/core/holdings/eviction.go
@@ -12,7 +12,7 @@
 const (
 	rankIdle rank = iota
 	rankStalledReceiving
-	rankStalledSending
+	rankStalledStreaming
 	// rankProgressing yields only to a client that holds less.
 	rankProgressing
 	rankNever
@@ -20,7 +20,7 @@
 
 // rankOf returns the place of a reservation in the order of eviction.
 func rankOf(r *Reservation, at id.Instant) rank {
-	stalled := at.Sub(id.Instant(r.movedAt.Load())) >= stalledAfter
+	stalled := r.Stalled(at)
 	switch r.State() {
 	case Idle:
 		return rankIdle
@@ -29,9 +29,9 @@
 			return rankStalledReceiving
 		}
 		return rankProgressing
-	case Sending:
+	case Streaming:
 		if stalled {
-			return rankStalledSending
+			return rankStalledStreaming
 		}
 	case Running:
 	}
@@ -54,7 +54,11 @@
 		chosen = append(chosen, next)
 		freed += next.held
 	}
-	if a.revoked+freed > max(1, a.limit/revokedShare) {
+	allowed := a.limit
+	if newcomer.purpose != Connection {
+		allowed = a.limit / revokedShare
+	}
+	if a.revoked+freed > allowed {
 		// The owners of earlier ones have not released them yet.
 		return nil
 	}
--- a/core/holdings/holdings.go
+++ b/core/holdings/holdings.go
@@ -21,6 +21,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"marjoramsaddle/core/id"
@@ -54,8 +55,9 @@
 	Idle // idle
 	// Receiving means that the request is incomplete, and so has not run.
 	Receiving // receiving
-	// Sending means that a response is being sent.
-	Sending // sending
+	// Streaming means that a response is being sent, or a body too long to buffer is being
+	// passed on.
+	Streaming // streaming
 )
 
 const (
@@ -68,7 +70,8 @@
 	// maxVictims bounds how many reservations yield to a single one.
 	maxVictims = 8
 	// revokedShare bounds the revoked reservations that their owners have not released
-	// yet, as a divisor of the limit. They come on top of the limit.
+	// yet, as a divisor of the limit. They come on top of the limit. For connections, whose
+	// descriptors are free at once, the divisor is 1.
 	revokedShare = 4
 	// percent is the whole of a level.
 	percent = 100
@@ -76,7 +79,7 @@
 
 // levels are the percentages of the account up to which each purpose may fill it.
 var levels = [purposeCount]int64{
-	Control: 100, Ordinary: 95, Response: 85, Body: 60, ReadAhead: 60, Connection: 100,
+	Control: 100, Ordinary: 95, Response: 85, Body: 60, ReadAhead: 20, Connection: 100,
 }
 
 // Purposes returns all purposes.
@@ -107,7 +110,8 @@
 
 // Account is the account of one resource. It is safe for concurrent use.
 type Account struct {
-	limit int64
+	limit   int64
+	crowded atomic.Bool
 
 	mu sync.Mutex
 	// held is what is reserved, without what has been revoked.
@@ -143,6 +147,11 @@
 	return a.held + a.revoked
 }
 
+// Crowded reports whether the account has no room for read-ahead.
+func (a *Account) Crowded() bool {
+	return a != nil && a.crowded.Load()
+}
+
 // Stats returns the counts of decisions.
 func (a *Account) Stats() Stats {
 	a.mu.Lock()
@@ -161,8 +170,7 @@
 	a.mu.Lock()
 	victims, granted := a.claim(r, request.Amount, request.At)
 	if granted && request.Yield != nil {
-		r.position = len(a.revocable)
-		a.revocable = append(a.revocable, r)
+		a.addRevocable(r)
 	}
 	a.mu.Unlock()
 	if !granted {
@@ -209,21 +217,46 @@
 		a.revoke(victim)
 	}
 	r.held += n
-	a.held += n
+	a.addHeld(n)
 	a.byPurpose[r.purpose] += n
 	a.addToClient(r.client, n)
 	return victims, true
 }
 
+func (a *Account) addHeld(n int64) {
+	a.held += n
+	a.crowded.Store(a.held > a.limit*levels[ReadAhead]/percent)
+}
+
 func (a *Account) revoke(r *Reservation) {
 	r.revoked = true
 	a.forgetRevocable(r)
-	a.held -= r.held
+	a.addHeld(-r.held)
 	a.revoked += r.held
 	a.addToClient(r.client, -r.held)
 	a.stats.Revoked++
 }
 
+// assign changes the client and the callback of a reservation.
+func (a *Account) assign(r *Reservation, client Client) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.revoked || r.closed {
+		return
+	}
+	a.addToClient(r.client, -r.held)
+	r.client = client
+	a.addToClient(r.client, r.held)
+	a.addRevocable(r)
+}
+
+func (a *Account) addRevocable(r *Reservation) {
+	if r.position < 0 {
+		r.position = len(a.revocable)
+		a.revocable = append(a.revocable, r)
+	}
+}
+
 func (a *Account) shrink(r *Reservation, n int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -247,7 +280,7 @@
 		a.revoked -= n
 		return
 	}
-	a.held -= n
+	a.addHeld(-n)
 	a.addToClient(r.client, -n)
 }
 
--- a/core/holdings/holdings_string.go
+++ b/core/holdings/holdings_string.go
@@ -35,12 +35,12 @@
 	_ = x[Running-0]
 	_ = x[Idle-1]
 	_ = x[Receiving-2]
-	_ = x[Sending-3]
+	_ = x[Streaming-3]
 }
 
-const _State_name = "runningidlereceivingsending"
+const _State_name = "runningidlereceivingstreaming"
 
-var _State_index = [...]uint8{0, 7, 11, 20, 27}
+var _State_index = [...]uint8{0, 7, 11, 20, 29}
 
 func (i State) String() string {
 	idx := int(i) - 0
--- a/core/holdings/holdings_test.go
+++ b/core/holdings/holdings_test.go
@@ -38,8 +38,8 @@
 		othersOfSecond int64
 	}{
 		{name: "idle before stalled", first: Request{Client: "a", At: recently, State: Idle}, second: Request{Client: "a", At: longAgo, State: Receiving}, yields: true},
-		{name: "not run before sending", first: Request{Client: "a", At: longAgo, State: Receiving}, second: Request{Client: "a", At: longAgo, State: Sending}, yields: true},
-		{name: "stalled before progressing", first: Request{Client: "a", At: longAgo, State: Sending}, second: Request{Client: "a", At: recently, State: Receiving}, yields: true},
+		{name: "not run before sending", first: Request{Client: "a", At: longAgo, State: Receiving}, second: Request{Client: "a", At: longAgo, State: Streaming}, yields: true},
+		{name: "stalled before progressing", first: Request{Client: "a", At: longAgo, State: Streaming}, second: Request{Client: "a", At: recently, State: Receiving}, yields: true},
 		{name: "client with most first", first: Request{Client: "most", At: longAgo + 1, State: Receiving}, second: Request{Client: "b", At: longAgo, State: Receiving}, yields: true},
 		{name: "progress of the client with most", first: Request{Client: "most", At: recently, State: Receiving}, second: Request{Client: "b", At: recently, State: Receiving}, yields: true},
 		{name: "running stays", first: Request{Client: "most", At: longAgo, State: Running}, second: Request{Client: "b", At: longAgo, State: Running}},
@@ -101,10 +101,10 @@
 	t.Repeat(map[string]func(*rapid.T){
 		"reserve": func(t *rapid.T) {
 			h, granted := reserve(account, Request{
-				Purpose: rapid.SampledFrom(Purposes()).Draw(t, "purpose"), At: now,
+				Purpose: rapid.SampledFrom([]Purpose{Control, Ordinary, Response, Body, ReadAhead}).Draw(t, "purpose"), At: now,
 				Client: Client(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "client")),
 				Amount: rapid.Int64Range(0, 400).Draw(t, "amount"),
-				State:  State(rapid.IntRange(int(Running), int(Sending)).Draw(t, "state")),
+				State:  State(rapid.IntRange(int(Running), int(Streaming)).Draw(t, "state")),
 			})
 			if granted {
 				open = append(open, h)
@@ -114,9 +114,13 @@
 		"shrink": func(t *rapid.T) { pick(t).Shrink(rapid.Int64Range(0, 500).Draw(t, "amount")) },
 		"move":   func(t *rapid.T) { pick(t).Moved(now) },
 		"set state": func(t *rapid.T) {
-			pick(t).SetState(State(rapid.IntRange(int(Running), int(Sending)).Draw(t, "state")), now)
+			pick(t).SetState(State(rapid.IntRange(int(Running), int(Streaming)).Draw(t, "state")), now)
 		},
 		"release": func(t *rapid.T) { pick(t).Release() },
+		"assign": func(t *rapid.T) {
+			h := pick(t)
+			h.Assign(Client(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "client")), func() { h.asked++ })
+		},
 		"wait": func(t *rapid.T) {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 		},
--- a/core/holdings/reservation.go
+++ b/core/holdings/reservation.go
@@ -69,6 +69,22 @@
 	return State(r.state.Load())
 }
 
+// Assign changes on whose behalf the reservation is held, and sets the callback.
+func (r *Reservation) Assign(client Client, yield func()) {
+	if r == nil {
+		return
+	}
+	r.yieldMu.Lock()
+	r.yield = yield
+	r.yieldMu.Unlock()
+	r.account.assign(r, client)
+}
+
+// Stalled reports whether there was no progress for some time.
+func (r *Reservation) Stalled(at id.Instant) bool {
+	return r != nil && at.Sub(id.Instant(r.movedAt.Load())) >= stalledAfter
+}
+
 // Held returns the size of the reservation.
 func (r *Reservation) Held() int64 {
 	if r == nil {
--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -160,6 +160,8 @@
 	for _, item := range query.Held {
 		values.Add(heldParam, formatHeld(item))
 	}
+	ctx, owner := http1.WithOwner(ctx)
+	defer owner.Close()
 	response, err := c.pool.Do(ctx, address, &http1.Request{
 		Method: http.MethodGet, Target: changesPath + "?" + values.Encode(), Host: address, Header: http.Header{},
 		NewConn: query.NewConn, OnResponse: query.OnResponse,
--- /dev/null
+++ b/io/http1/activity.go
@@ -0,0 +1,77 @@
+package http1
+
+import (
+	"sync"
+
+	"marjoramsaddle/core/holdings"
+)
+
+// activity tells the account of connections what a connection is doing.
+type activity struct {
+	slot *holdings.Reservation
+
+	mu sync.Mutex
+	// unsent counts the responses that are neither sent nor dropped.
+	unsent             int
+	receiving, sending bool
+}
+
+// add changes the number of unsent responses.
+func (a *activity) add(responses int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unsent += responses
+	a.update()
+}
+
+func (a *activity) setReceiving(receiving bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.receiving = receiving
+	a.update()
+}
+
+func (a *activity) setSending(sending bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sending = sending
+	a.update()
+}
+
+// update sets the state of the connection's place. While a request runs, the next one may
+// be incomplete, and the connection does not yield. The caller holds mu.
+func (a *activity) update() {
+	state := holdings.Idle
+	switch {
+	case a.sending:
+		state = holdings.Streaming
+	case a.unsent > 0:
+		state = holdings.Running
+	case a.receiving:
+		state = holdings.Receiving
+	}
+	a.slot.SetState(state, Clock())
+}
+
+// headerReader reads from a connection on behalf of its readLoop. It reserves memory for
+// the header that is being read.
+type headerReader serverConn
+
+// Read reads from the connection.
+func (r *headerReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	now := Clock()
+	r.slot.Moved(now)
+	if !r.readingHeader {
+		return n, err
+	}
+	r.holding.moved()
+	r.headerBytes += n
+	if r.headerBytes > bufferSize && !r.holding.Grow(headerExpansion*int64(n)) {
+		return 0, ErrMemoryFull
+	}
+	return n, err
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	server := &http.Server{Handler: handler, ConnContext: http1.ConnContext}
-//	go server.Serve(http1.Listener{inner})
+//	go server.Serve(http1.Listener{Listener: inner})
 //
 //	pool := http1.NewPool(http1.PoolOptions{...})
 //	response, err := pool.Do(ctx, "192.0.2.1:8080", request)
@@ -17,15 +17,22 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"marjoramsaddle/core/holdings"
 )
 
 // maxReadAhead limits the bytes buffered before Read asks for them. Beyond it TCP
 // flow control slows the peer down, and a close behind that data goes undetected.
 const maxReadAhead = 64 << 10
 
+// freeReadAhead is the part of it that belongs to the connection. Beyond it the account
+// must have room.
+const freeReadAhead = 8 << 10
+
 // readSize is the maximum number of bytes of one read from the socket.
 const readSize = 4 << 10
 
@@ -40,6 +47,17 @@
 	deadline time.Time
 	// expired is set once Read has failed at the deadline, until another one is set.
 	expired bool
+	// aborted makes Read fail as at a deadline.
+	aborted bool
+	// paused is set while readLoop waits for room in the buffer.
+	paused bool
+	// account limits the buffers of all connections; nil means no limit. reserved is the
+	// size of readAhead.
+	account   *holdings.Account
+	readAhead *holdings.Reservation
+	reserved  int
+	// slot is the connection's place among those of its listener, or nil.
+	slot *holdings.Reservation
 	// changed is closed and replaced whenever one of the fields above changes.
 	changed chan struct{}
 	// done is the channel that Done returns.
@@ -47,8 +65,12 @@
 }
 
 // NewConn wraps the connection and starts reading ahead.
-func NewConn(inner net.Conn) *Conn {
-	conn := &Conn{Conn: inner, changed: make(chan struct{}), done: make(chan struct{})}
+func NewConn(inner net.Conn) *Conn { return newConn(inner, nil, nil) }
+
+// newConn returns a connection whose read-ahead the account limits, and which gives back
+// its slot when it is closed.
+func newConn(inner net.Conn, account *holdings.Account, slot *holdings.Reservation) *Conn {
+	conn := &Conn{Conn: inner, changed: make(chan struct{}), done: make(chan struct{}), account: account, slot: slot}
 	go conn.readLoop()
 	return conn
 }
@@ -87,7 +109,8 @@
 		return false
 	}
 	c.broadcast()
-	for len(c.buffer) >= maxReadAhead {
+	for !c.mayReadMore() {
+		c.paused = true
 		changed := c.changed
 		c.mu.Unlock()
 		<-changed
@@ -98,10 +121,54 @@
 			return false
 		}
 	}
+	c.paused = false
 	c.mu.Unlock()
 	return true
 }
 
+// mayReadMore reports whether another read fits the buffer, and reserves memory for it.
+// The caller holds mu.
+func (c *Conn) mayReadMore() bool {
+	size := len(c.buffer) + readSize
+	switch {
+	case len(c.buffer) >= maxReadAhead:
+		return false
+	case c.account == nil || size <= freeReadAhead || size <= c.reserved:
+		return true
+	}
+	// The next size up, so that there are few calls.
+	size = min(2*size, maxReadAhead+readSize)
+	request := holdings.Request{Purpose: holdings.ReadAhead, Amount: int64(size - c.reserved), At: Clock()}
+	if c.readAhead != nil {
+		if !c.readAhead.Grow(request.Amount, request.At) {
+			return false
+		}
+	} else {
+		var granted bool
+		if c.readAhead, granted = c.account.Reserve(request); !granted {
+			return false
+		}
+	}
+	c.reserved = size
+	return true
+}
+
+// releaseReadAhead gives back the buffer and its reservation. The caller holds mu.
+func (c *Conn) releaseReadAhead() {
+	c.readAhead.Release()
+	c.readAhead, c.reserved = nil, 0
+}
+
+// AbortReads makes all reads fail as at a deadline.
+func (c *Conn) AbortReads() { c.setAborted(true) }
+
+func (c *Conn) setAborted(aborted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = aborted
+	c.broadcast()
+}
+
 func (c *Conn) broadcast() {
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -113,7 +180,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
-		if c.expired {
+		if c.expired || c.aborted {
 			c.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -148,13 +215,16 @@
 // consume drops n bytes from the buffer. It wakes the read loop only if that was
 // blocked on a full buffer.
 func (c *Conn) consume(n int) {
-	paused := len(c.buffer) >= maxReadAhead
-	if n == len(c.buffer) {
-		c.buffer = c.buffer[:0]
-	} else {
+	switch {
+	case n < len(c.buffer):
 		c.buffer = c.buffer[n:]
+	case c.reserved > 0 && c.account.Crowded():
+		c.buffer = nil
+		c.releaseReadAhead()
+	default:
+		c.buffer = c.buffer[:0]
 	}
-	if paused {
+	if c.paused {
 		c.broadcast()
 	}
 }
@@ -200,11 +270,14 @@
 // Close closes the connection and unblocks waiting reads.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	// Not below mu, which the callback of the slot takes.
+	c.slot.Release()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
+	c.releaseReadAhead()
 	c.broadcast()
 	return err
 }
@@ -218,15 +291,54 @@
 }
 
 // Listener wraps each accepted connection in a Conn, which ConnContext requires.
-type Listener struct{ net.Listener }
+type Listener struct {
+	net.Listener
+	// Account limits the bytes that connections read ahead, and Conns their number. Both
+	// may be nil. With Conns, use ConnState as the ConnState field of http.Server.
+	Account, Conns *holdings.Account
+}
 
-// Accept waits for the next connection and returns it as a *Conn.
+// Accept waits for the next connection and returns it as a *Conn. Connections for which
+// there is no room are closed.
 func (l Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := accept(inner, l.Account, l.Conns); conn != nil {
+			return conn, nil
+		}
+	}
+}
+
+// accept returns the connection, or closes it and returns nil if there is no room for it
+// among the others.
+func accept(inner net.Conn, account, conns *holdings.Account) *Conn {
+	slot, granted := conns.Reserve(holdings.Request{
+		Purpose: holdings.Connection, Client: ClientOf(inner.RemoteAddr().String()), Amount: 1, At: Clock(), State: holdings.Idle,
+		Yield: func() { _ = inner.Close() },
+	})
+	if !granted {
+		_ = inner.Close()
+		return nil
+	}
+	return newConn(inner, account, slot)
+}
+
+// ConnState tells the account of a Listener which connections are idle.
+func ConnState(conn net.Conn, state http.ConnState) {
+	readAheadConn, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		readAheadConn.slot.SetState(holdings.Running, Clock())
+	case http.StateIdle:
+		readAheadConn.slot.SetState(holdings.Idle, Clock())
+	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
-	return NewConn(conn), nil
 }
 
 // ConnContext cancels the context of a connection's requests when the peer closes
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -211,7 +211,7 @@
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	go func() { _ = server.Serve(Listener{listener}) }()
+	go func() { _ = server.Serve(Listener{Listener: listener}) }()
 	defer func() { _ = server.Close() }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math"
 	"net"
@@ -19,6 +18,7 @@
 	"time"
 
 	"marjoramsaddle/core/contain"
+	"marjoramsaddle/core/holdings"
 	"marjoramsaddle/core/link"
 )
 
@@ -99,6 +99,9 @@
 	Body   []byte
 	// Booking reserves time on the host's link for a large response, or is nil.
 	Booking *link.Booking
+	// Held is the memory of the body, or nil. The owner in the context of the request
+	// releases it unless it is detached.
+	Held *holdings.Reservation
 }
 
 // PoolOptions configures a Pool.
@@ -109,6 +112,10 @@
 	IdleTimeout time.Duration
 	// MaxBodyBytes limits the body of a response.
 	MaxBodyBytes int64
+	// Account limits the bytes of responses, which are reserved for the given purpose if
+	// the context has an owner (see WithOwner). Nil means no limit.
+	Account *holdings.Account
+	Purpose holdings.Purpose
 	// RequestID returns the request ID from the header of a request or response.
 	// Responses with another ID are skipped. One without an ID is accepted only as
 	// the first on its connection, which is then closed, because a duplicate could
@@ -197,7 +204,7 @@
 		request.Header.Set(p.options.ExchangeField, strconv.FormatUint(p.exchangeCount.Add(1), 10))
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
-	response, reusable, err := p.exchange(conn, request)
+	response, reusable, err := p.exchange(ctx, conn, request)
 	if !stop() || !reusable || err != nil {
 		_ = conn.conn.Close()
 	} else {
@@ -218,8 +225,12 @@
 
 // exchange sends the request and reads its response. It reports whether the
 // connection can be reused.
-func (p *Pool) exchange(conn *clientConn, request *Request) (result *Response, reusable bool, err error) {
+func (p *Pool) exchange(ctx context.Context, conn *clientConn, request *Request) (result *Response, reusable bool, err error) {
 	httpRequest := request.httpRequest()
+	source := &bodySource{Reader: request.Stream}
+	if request.Stream != nil {
+		httpRequest.Body = io.NopCloser(source)
+	}
 	written := make(chan error, 1)
 	if request.Stream == nil {
 		written <- conn.send(httpRequest)
@@ -228,6 +239,10 @@
 		go func() {
 			// The body is read here, outside the goroutine that handles the request.
 			written <- contain.Panics(func() error { return conn.send(httpRequest) })
+			if source.failed.Load() {
+				// The peer would wait for the rest of the body.
+				_ = conn.conn.Close()
+			}
 		}()
 	}
 	for skipped := 0; skipped <= maxSkippedResponses; skipped++ {
@@ -239,14 +254,14 @@
 		if matches && request.OnResponse != nil {
 			request.OnResponse()
 		}
-		body, err := p.readBody(response)
+		body, held, err := p.readBody(ctx, response)
 		if err != nil {
 			return nil, false, err
 		}
 		if !matches {
 			continue
 		}
-		result = &Response{Status: response.StatusCode, Header: response.Header, Body: body}
+		result = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Held: held}
 		return result, identified && conn.reusable(response, written), nil
 	}
 	return nil, false, errOtherRequest
@@ -330,32 +345,6 @@
 	return c.writer.Flush()
 }
 
-// readBody reads the whole body. It does not close the body, because that would
-// read an oversized body to its end. After an error the connection is closed.
-func (p *Pool) readBody(response *http.Response) ([]byte, error) {
-	if response.Body == http.NoBody {
-		return nil, nil
-	}
-	if response.ContentLength > p.options.MaxBodyBytes {
-		return nil, ErrResponseBodyTooLarge
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		if _, err := io.ReadFull(response.Body, body); err != nil {
-			return nil, fmt.Errorf("http1: the answer is cut off: %w", err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, p.options.MaxBodyBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("http1: the answer is cut off: %w", err)
-	}
-	if int64(len(body)) > p.options.MaxBodyBytes {
-		return nil, ErrResponseBodyTooLarge
-	}
-	return body, nil
-}
-
 // httpRequest converts the request for net/http. URL.Opaque keeps the target
 // exactly as the client sent it.
 func (r *Request) httpRequest() *http.Request {
@@ -404,7 +393,7 @@
 	if p.options.OnDial != nil {
 		p.options.OnDial(address)
 	}
-	conn := NewConn(inner)
+	conn := newConn(inner, p.options.Account, nil)
 	limitedReader := &io.LimitedReader{R: conn, N: maxResponseHeader}
 	return &clientConn{
 		conn: conn, limitedReader: limitedReader, address: address,
--- a/io/http1/server_limits_test.go
+++ b/io/http1/server_limits_test.go
@@ -248,9 +248,11 @@
 // that sends the body on still reads it. The connection serves the next request.
 func TestEarlyResponseToLongBody(t *testing.T) {
 	is := is.New(t)
-	const length = maxBufferedBody + 10
+	const length = MaxBufferedBody + 10
 	reads := make(chan error, 1)
-	_, address := serveWith(t, ServerOptions{Limits: strictLimits, Handler: func(_ context.Context, r *http.Request) *Response {
+	limits := strictLimits()
+	limits.BodyBytes = length
+	_, address := serveWith(t, ServerOptions{Limits: func() Limits { return limits }, Handler: func(_ context.Context, r *http.Request) *Response {
 		if r.Method == http.MethodPost {
 			body := r.Body
 			begun := make(chan struct{})
--- a/io/http1/streamed_body.go
+++ b/io/http1/streamed_body.go
@@ -46,11 +46,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.takenBack = true
+	// A client that stops meanwhile is given up like one that stops before.
 	_, err := io.Copy(io.Discard, b.rest)
 	return err
 }
 
-// bufferBody reads a body shorter than maxBufferedBody into memory and reports
+// bufferBody reads a body shorter than MaxBufferedBody into memory and reports
 // whether it did. A longer body remains a stream with the same content.
 func (c *serverConn) bufferBody(request *http.Request) (buffered bool, err error) {
 	if request.Body == nil || request.Body == http.NoBody {
@@ -58,15 +59,16 @@
 	}
 	limits := c.server.options.Limits()
 	body := &pacedBody{conn: c.conn, body: request.Body, maxBytes: limits.BodyBytes, baseDeadline: time.Now().Add(limits.HeaderTimeout)}
-	request.Body = body
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody))
+	data, complete, err := c.holding.ReadBody(body, request.ContentLength)
 	if err != nil {
 		return false, err
 	}
-	if len(data) < maxBufferedBody {
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(data)), int64(len(data))
+	if complete {
+		_ = c.conn.SetReadDeadline(time.Time{})
+		request.Body, request.ContentLength = newBufferedBody(data), int64(len(data))
 		return true, nil
 	}
+	body.holding, body.maxStall = c.holding, limits.HeaderTimeout
 	request.Body = newStreamedBody(data, body)
 	return false, nil
 }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"marjoramsaddle/core/admission"
+	"marjoramsaddle/core/holdings"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/refusal"
@@ -16,10 +18,15 @@
 	"marjoramsaddle/io/lane"
 )
 
-// MaxBufferedBody is the size below which a request body is read in full before
-// the request is forwarded, so that a slow sender occupies no slot and the request
-// can be retried. Orders of both users are below 8 KB.
-const MaxBufferedBody = 256 << 10
+// maxWriteStall limits how long a daemon may take no byte of a response, and
+// flushedBytes is the size from which a response is flushed below that limit.
+const (
+	maxWriteStall = 10 * time.Second
+	flushedBytes  = 16 << 10
+)
+
+// bodyGrace is how long after its deadline the body of a request may still arrive.
+const bodyGrace = 100 * time.Millisecond
 
 // HandlerOptions configures a Handler.
 type HandlerOptions struct {
@@ -31,6 +38,8 @@
 	Admit func(work shutdown.Work) (id.Instant, bool)
 	// Now returns the current time of the clock on which deadlines are stored.
 	Now func() id.Instant
+	// Account limits the bytes of requests and responses; nil means no limit.
+	Account *holdings.Account
 }
 
 // Handler serves requests from other daemons.
@@ -60,11 +69,23 @@
 		h.RefuseLeaving(w, r)
 		return
 	}
-	request, refused := NewRequest(r)
+	connection := http.NewResponseController(w)
+	holding, err := http1.NewHolding(h.options.Account, http1.ClientOf(r.RemoteAddr), func() { _ = connection.SetReadDeadline(time.Unix(1, 0)) })
+	defer holding.Release()
+	// The link to the sender may be cut.
+	_ = connection.SetReadDeadline(time.Now().Add(call.Left + bodyGrace))
+	request, refused := newRelayedRequest(r, holding, err)
 	if refused != nil {
-		h.refuse(w, refused)
+		// A sender that still writes the body would not see the refusal.
+		_, _ = io.Copy(io.Discard, r.Body)
+		h.refuse(w, h.local.RecordRefusal(call, request, refused))
 		return
 	}
+	if request.Stream == nil {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
+	ctx, owner := http1.WithOwner(r.Context())
+	defer owner.Close()
 	// The body may have taken a part of the time.
 	call.Left = deadline.Sub(h.options.Now())
 	var booking *link.Booking
@@ -77,7 +98,7 @@
 		defer booked.Close()
 		booking = booked
 	}
-	response, refused := h.local.Send(r.Context(), call, request)
+	response, refused := h.local.Send(ctx, call, request)
 	if r.Context().Err() != nil && (refused != nil && refused.Reason == refusal.CallerGone) {
 		panic(http.ErrAbortHandler)
 	}
@@ -89,12 +110,30 @@
 	header.Set(headerOutcome, refusal.Ran.String())
 	header.Set(headerLoad, formatLoad(h.local.Load()))
 	writeHeader(w, response)
-	if err := h.lane.Write(r.Context(), w, response.Body, booking); err != nil {
+	if err := h.writeBody(r, w, response, booking); err != nil {
 		// Abort the connection, so that a truncated response is recognized as such.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// writeBody writes the body of a response, which the sender of the request must take in
+// time.
+func (h *Handler) writeBody(r *http.Request, w http.ResponseWriter, response *http1.Response, booking *link.Booking) error {
+	connection := http.NewResponseController(w)
+	response.Held.Assign(http1.ClientOf(r.RemoteAddr), func() { _ = connection.SetWriteDeadline(time.Unix(1, 0)) })
+	out := &http1.ProgressWriter{Out: w, SetDeadline: connection.SetWriteDeadline, PartTimeout: maxWriteStall, Held: response.Held}
+	if err := h.lane.Write(r.Context(), out, response.Body, booking); err != nil {
+		return err
+	}
+	if len(response.Body) >= flushedBytes {
+		// Without support for it, the server flushes.
+		_ = connection.Flush()
+	}
+	response.Held.Release()
+	_ = connection.SetWriteDeadline(time.Time{})
+	return nil
+}
+
 // maxLinkWait returns how long a large response may wait for the link.
 func (h *Handler) maxLinkWait(call Call) time.Duration {
 	if call.NoWait {
@@ -121,30 +160,53 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// NewRequest converts a request received by a server. It removes hop-by-hop and
-// internal headers, reads a body shorter than MaxBufferedBody into memory, and
-// leaves a longer one as a stream.
+// NewRequest converts a request that an http1.Server has received. It removes hop-by-hop
+// and internal headers. The body is not copied.
 func NewRequest(r *http.Request) (*http1.Request, *refusal.Error) {
-	header := Forwardable(r.Header)
-	StripInternalHeaders(header)
-	request := &http1.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Length: r.ContentLength,
+	if body, stream, found := http1.Body(r); found {
+		request := newRequest(r)
+		request.Body, request.Stream = body, stream
+		return request, nil
 	}
-	if r.Body == nil || r.Body == http.NoBody {
+	return newRelayedRequest(r, nil, nil)
+}
+
+// newRelayedRequest converts a request that another daemon has sent. It reads a short body
+// into the memory of the holding, unless that is not granted, and leaves a longer one as a
+// stream: its beginning has been read by the sender.
+func newRelayedRequest(r *http.Request, holding *http1.Holding, err error) (*http1.Request, *refusal.Error) {
+	request := newRequest(r)
+	switch {
+	case err != nil:
+		return request, refusal.Wrap(refusal.MemoryFull, refusal.NotRun, err)
+	case r.Body == nil || r.Body == http.NoBody:
+		return request, nil
+	case r.ContentLength >= http1.MaxBufferedBody:
+		request.Stream = r.Body
 		return request, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBufferedBody))
-	if err != nil {
-		return nil, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err)
+	body, complete, err := holding.ReadBody(r.Body, r.ContentLength)
+	switch {
+	case errors.Is(err, http1.ErrMemoryFull):
+		return request, refusal.Wrap(refusal.MemoryFull, refusal.NotRun, err)
+	case err != nil:
+		return request, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err)
 	}
-	if len(body) < MaxBufferedBody {
-		request.Body, request.Length = body, int64(len(body))
+	holding.Complete()
+	if !complete {
+		request.Stream = io.MultiReader(bytes.NewReader(body), r.Body)
 		return request, nil
 	}
-	request.Stream = io.MultiReader(bytes.NewReader(body), r.Body)
+	request.Body, request.Length = body, int64(len(body))
 	return request, nil
 }
 
+func newRequest(r *http.Request) *http1.Request {
+	header := Forwardable(r.Header)
+	StripInternalHeaders(header)
+	return &http1.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Length: r.ContentLength}
+}
+
 // writeHeader writes the status and header of the response. Setting Date and
 // Content-Type to nil keeps net/http from adding its own.
 func writeHeader(w http.ResponseWriter, response *http1.Response) {
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -102,6 +102,8 @@
 	failures       backend.FailureRate
 	// activeRequests holds the active requests that have an ID, by that ID.
 	activeRequests map[string]*ActiveRequest
+	// streams counts the requests whose body is sent while it arrives.
+	streams int
 }
 
 // New returns a Server that refuses all requests until SetCurrent lists a backend
@@ -247,6 +249,12 @@
 	if current := s.current.Load(); call.Limit.Announced && current != nil && s.options.LimitLearned != nil {
 		s.options.LimitLearned(current, announcement.LearnedLimit{Limit: call.Limit, At: now.Add(-call.LimitAge)})
 	}
+	if request.Stream != nil {
+		if !s.beginStream() {
+			return nil, refusal.New(refusal.QueueFull, refusal.NotRun)
+		}
+		defer s.endStream()
+	}
 	rank := admission.RankOf(call.Rank)
 	ticket, refused := s.gate.AcquireRank(ctx, now, rank, deadline, now.Add(s.maxQueueWait(call)))
 	if refused != nil {
--- a/io/telemetry/metrics.go
+++ b/io/telemetry/metrics.go
@@ -130,3 +130,17 @@
 	}
 	return nil
 }
+
+// LabeledGauges registers a gauge with a label. Its values are read each time the metrics
+// are collected: read calls observe for each value of the label.
+func (m *Metrics) LabeledGauges(name, help, label string, read func(observe func(value string, number int64))) error {
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			read(func(value string, number int64) { observer.Observe(number, attributeOption(label, value)) })
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("metric %s: %w", name, err)
+	}
+	return nil
+}
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -177,7 +177,7 @@
 	f := newFleet(t)
 	peer := f.newScriptedPeer(false)
 	peer.hold(10, "r1", platformtest.Route("kept", "/kept/", "safe", "counter", time.Second, 1))
-	pool := newControlPool(func(string, string, syscall.RawConn) error {
+	pool := newControlPool(nil, func(string, string, syscall.RawConn) error {
 		time.Sleep(linkWait)
 		return nil
 	})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -31,6 +31,7 @@
 	"marjoramsaddle/core/announcement"
 	"marjoramsaddle/core/backend"
 	"marjoramsaddle/core/gossip"
+	"marjoramsaddle/core/holdings"
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/mirror"
@@ -75,9 +76,6 @@
 	// its size in bytes, where the configuration does not.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	// callerDescriptorShare is the share of the process's file descriptors for client
-	// connections. The rest is for other daemons, the backend server and the store.
-	callerDescriptorShare = 0.5
 	// pacedLinkShare is the share of the host's link for large responses. The rest is
 	// for requests, headers, beacons and acknowledgements.
 	pacedLinkShare = 0.85
@@ -95,6 +93,8 @@
 	metricsPort   int
 	requestLogger *requestLog
 	startedAt     time.Time
+	// account is the account of the bytes of others.
+	account *holdings.Account
 
 	mirror *mirror.Mirror
 	// applyMu makes a change of the mirror and of what is derived from it one step.
@@ -167,16 +167,17 @@
 		farReports:    gossip.NewReportBuffer(gossip.MaxFarReports),
 	}
 	d.settings.Store(&settings)
+	d.account = newAccount(&settings)
 	d.requestLogger = newRequestLog(log.Named("request"), metrics)
 	headers := platform.Headers{}
 	d.hopPool = http1.NewPool(http1.PoolOptions{
 		DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout, MaxBodyBytes: maxResponseBytes, TCPUserTimeout: hopSendTimeout,
-		ExchangeField: relay.ExchangeHeader,
+		ExchangeField: relay.ExchangeHeader, Account: d.account, Purpose: holdings.Response,
 	})
-	d.controlPool = newControlPool(nil)
+	d.controlPool = newControlPool(d.account, nil)
 	d.backendPool = http1.NewPool(http1.PoolOptions{
 		DialTimeout: backendDialTimeout, IdleTimeout: backendIdleTimeout, MaxBodyBytes: maxResponseBytes,
-		RequestID: headers.RequestID,
+		RequestID: headers.RequestID, Account: d.account, Purpose: holdings.Response,
 	})
 	_, hopPort, err := net.SplitHostPort(settings.HopAddress)
 	if err != nil {
@@ -198,14 +199,14 @@
 	d.members = newMembers(settings, d.now)
 	d.retryBudget = retry.NewFleetBudget(d.retryLimits)
 	d.storeState = newStoreState(d)
-	return d, d.registerBackendGauges()
+	return d, errors.Join(d.registerBackendGauges(), d.registerMemoryGauges())
 }
 
 // newControlPool returns the pool of connections for the changes of other daemons.
-func newControlPool(dialControl func(network, address string, conn syscall.RawConn) error) *http1.Pool {
+func newControlPool(account *holdings.Account, dialControl func(network, address string, conn syscall.RawConn) error) *http1.Pool {
 	return http1.NewPool(http1.PoolOptions{
 		DialTimeout: controlDialTimeout, IdleTimeout: hopIdleTimeout, MaxBodyBytes: maxResponseBytes, TCPUserTimeout: hopSendTimeout,
-		ExchangeField: relay.ExchangeHeader, DialControl: dialControl,
+		ExchangeField: relay.ExchangeHeader, DialControl: dialControl, Account: account, Purpose: holdings.Control,
 	})
 }
 
@@ -277,6 +278,10 @@
 	hops, control, readiness, metrics *http.Server
 
 	beacons net.PacketConn
+
+	// hopPlaces and otherPlaces are the accounts of the connections to hops and to the
+	// other net/http servers, or nil.
+	hopPlaces, otherPlaces *holdings.Account
 }
 
 // listen opens all sockets of the daemon and starts serving on them.
@@ -286,7 +291,7 @@
 		Table: d.table.Load, Configured: d.configured, RetryBudget: d.retryBudget, Recorder: d.requestLogger, Behind: d.behind, AwaitCurrent: d.awaitCurrent, ParentOf: d.parentOf, Now: d.now, Admit: d.admit,
 		Local: d.localServerID, Link: d.lane.HostLink(),
 	})
-	hops := relay.NewHandler(relay.HandlerOptions{Local: d.localBackend, Lane: d.lane, Admit: d.admit, Now: d.now})
+	hops := relay.NewHandler(relay.HandlerOptions{Local: d.localBackend, Lane: d.lane, Admit: d.admit, Now: d.now, Account: d.account})
 	beacons, err := net.ListenPacket("udp4", d.settings.Load().ControlAddress)
 	if err != nil {
 		return nil, fmt.Errorf("control address: %w", err)
@@ -298,8 +303,9 @@
 	s := &servers{
 		callers: http1.NewServer(http1.ServerOptions{
 			Handler: d.trackCallerRequests(handler), Limits: d.clientLimits, Write: d.lane.Write,
-			MaxConns: int(callerDescriptorShare * float64(d.settings.Load().Descriptors)),
-			OnPanic:  func(r *http.Request, err error) { d.logPanic("request "+platform.Headers{}.RequestID(r.Header), err) },
+			MaxConns: maxConnections(d.settings.Load(), callerDescriptorShare, callerMemoryShare),
+			Account:  d.account, OnRefused: d.countEarlyRefusal,
+			OnPanic: func(r *http.Request, err error) { d.logPanic("request "+platform.Headers{}.RequestID(r.Header), err) },
 		}),
 		hops:      d.newServer(http1.EchoHeader(relay.ExchangeHeader, d.trackHopRequests(hops))),
 		control:   d.newServer(http1.EchoHeader(relay.ExchangeHeader, control.NewHandler(d.mirror, d.storeAge))),
@@ -307,17 +313,21 @@
 		metrics:   d.newServer(d.metrics.Handler()),
 		beacons:   beacons,
 	}
+	s.hopPlaces, s.otherPlaces = newPlaces(d.settings.Load(), hopDescriptorShare, hopMemoryShare), newPlaces(d.settings.Load(), otherDescriptorShare, otherMemoryShare)
+	go d.supervise(ctx, "memory", func(ctx context.Context) { d.logShortage(ctx, s.callers.Connections(), s.hopPlaces, s.otherPlaces) })
 	for _, binding := range []struct {
 		server  acceptor
 		address string
+		// places is the account of the connections of a net/http server, or nil.
+		places *holdings.Account
 	}{
-		{s.metrics, net.JoinHostPort(d.settings.Load().IP, strconv.Itoa(d.metricsPort))},
-		{s.readiness, d.settings.Load().ReadinessAddress},
-		{s.control, d.settings.Load().ControlAddress},
-		{s.hops, d.settings.Load().HopAddress},
-		{s.callers, d.settings.Load().CallerAddress},
+		{s.metrics, net.JoinHostPort(d.settings.Load().IP, strconv.Itoa(d.metricsPort)), s.otherPlaces},
+		{s.readiness, d.settings.Load().ReadinessAddress, s.otherPlaces},
+		{s.control, d.settings.Load().ControlAddress, s.otherPlaces},
+		{s.hops, d.settings.Load().HopAddress, s.hopPlaces},
+		{s.callers, d.settings.Load().CallerAddress, nil},
 	} {
-		if err := d.serve(ctx, binding.server, binding.address); err != nil {
+		if err := d.serve(ctx, binding.server, binding.address, binding.places); err != nil {
 			return nil, err
 		}
 	}
@@ -346,7 +356,7 @@
 
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: d.containPanics(handler), ConnContext: http1.ConnContext,
+		Handler: d.containPanics(handler), ConnContext: http1.ConnContext, ConnState: http1.ConnState,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: listenerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(d.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
@@ -357,17 +367,22 @@
 	Serve(listener net.Listener) error
 }
 
-func (d *Daemon) serve(ctx context.Context, server acceptor, address string) error {
-	listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp4", address)
+func (d *Daemon) serve(ctx context.Context, server acceptor, address string, places *holdings.Account) error {
+	httpServer, isHTTP := server.(*http.Server)
+	config := net.ListenConfig{KeepAlive: -1}
+	if !isHTTP {
+		config.Control = limitReceiveBuffer
+	}
+	listener, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
-	if httpServer, ok := server.(*http.Server); ok {
+	if isHTTP {
 		if tcpListener, ok := listener.(*net.TCPListener); ok {
 			gracefulListener := http1.NewGracefulListener(tcpListener)
 			d.listeners[httpServer], listener = gracefulListener, gracefulListener
 		}
-		listener = http1.Listener{Listener: listener}
+		listener = http1.Listener{Listener: listener, Account: d.account, Conns: places}
 	}
 	go func() {
 		err := server.Serve(listener)
