--- a/core/holdings/holdings.go
+++ b/core/holdings/holdings.go
@@ -123,7 +123,7 @@
 	stats     Stats
 }
 
-// Stats counts decisions since the account was made.
+// Stats counts decisions since the account was made, without those on read-ahead.
 type Stats struct{ Refused, Revoked uint64 }
 
 // New returns an account of the given size.
@@ -209,7 +209,9 @@
 			victims = a.victims(r, missing, n, at)
 		}
 		if victims == nil {
-			a.stats.Refused++
+			if r.purpose != ReadAhead {
+				a.stats.Refused++
+			}
 			return nil, false
 		}
 	}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -159,6 +159,16 @@
 	c.readAhead, c.reserved = nil, 0
 }
 
+// trim gives back memory after a message, unless the next one has begun.
+func (c *Conn) trim() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reserved > 0 && len(c.buffer) == 0 {
+		c.buffer = nil
+		c.releaseReadAhead()
+	}
+}
+
 // AbortReads makes all reads fail as at a deadline.
 func (c *Conn) AbortReads() { c.setAborted(true) }
 
@@ -336,6 +346,7 @@
 	case http.StateActive:
 		readAheadConn.slot.SetState(holdings.Running, Clock())
 	case http.StateIdle:
+		readAheadConn.trim()
 		readAheadConn.slot.SetState(holdings.Idle, Clock())
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
--- a/io/http1/holding.go
+++ b/io/http1/holding.go
@@ -98,17 +98,27 @@
 	}
 	var granted bool
 	h.large, granted = h.account.Reserve(h.request(holdings.Body, n))
+	// From now on the large one yields for both.
+	h.ordinary.SetState(holdings.Running, Clock())
 	return granted
 }
 
+// yielding returns the reservation that yields for the request. The caller holds mu.
+func (h *Holding) yielding() *holdings.Reservation {
+	if h.large != nil {
+		return h.large
+	}
+	return h.ordinary
+}
+
 // moved records that bytes of the request have arrived.
 func (h *Holding) moved() {
 	if h == nil {
 		return
 	}
-	now := Clock()
-	h.ordinary.Moved(now)
-	h.large.Moved(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.yielding().Moved(Clock())
 }
 
 // setState sets what the request is doing.
@@ -116,11 +126,9 @@
 	if h == nil {
 		return
 	}
-	now := Clock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ordinary.SetState(state, now)
-	h.large.SetState(state, now)
+	h.yielding().SetState(state, Clock())
 }
 
 // Complete records that the request is complete and may run, so that it is not given up
@@ -129,7 +137,12 @@
 
 // refused returns the error of a request that was asked to yield, or the given one.
 func (h *Holding) refused(err error) error {
-	if h == nil || !h.ordinary.Revoked() && !h.large.Revoked() || h.ordinary.Stalled(Clock()) {
+	if h == nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if yielding := h.yielding(); !yielding.Revoked() || yielding.Stalled(Clock()) {
 		return err
 	}
 	return ErrMemoryFull
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -423,6 +423,7 @@
 }
 
 func (p *Pool) pushIdle(conn *clientConn) {
+	conn.conn.trim()
 	latestExpiry := time.Now().Add(p.options.IdleTimeout)
 	if conn.expiresAt.IsZero() || conn.expiresAt.After(latestExpiry) {
 		conn.expiresAt = latestExpiry
--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -157,6 +157,7 @@
 // readRequest reads the header of the next request. During shutdown it waits only
 // shutdownReadTimeout for one.
 func (c *serverConn) readRequest() (*http.Request, error) {
+	c.conn.trim()
 	limits := c.server.options.Limits()
 	c.limitedReader.N = limits.HeaderBytes + bufferSize
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
