io/http1, sidecar: bound outgoing connections, wait for a place, tell stalled bodies apart

Cause: 16 requests on each of 942 connections could open more connections to other daemons than there are descriptors; header timeouts in calm would have counted as memory_full; ordinary clients behind the same address as a flood were closed at once when all connections were in use. Ruled out: a limit of requests in progress, which would bound what no descriptor is needed for.

--- a/io/http1/holding.go
+++ b/io/http1/holding.go
@@ -34,6 +34,9 @@
 // ErrMemoryFull is returned for bytes for which the account has no room.
 var ErrMemoryFull = errors.New("http1: the account of held bytes has no room: retry later or raise the memory limit")
 
+// ErrStalled is returned for a body that makes no progress while others need the memory.
+var ErrStalled = errors.New("http1: the body makes no progress while memory is short: send it faster or later")
+
 // processStart is the origin of Clock.
 var processStart = time.Now()
 
@@ -142,10 +145,14 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if yielding := h.yielding(); !yielding.Revoked() || yielding.Stalled(Clock()) {
+	switch yielding := h.yielding(); {
+	case !yielding.Revoked():
 		return err
+	case yielding.Stalled(Clock()):
+		return ErrStalled
+	default:
+		return ErrMemoryFull
 	}
-	return ErrMemoryFull
 }
 
 // Release gives back everything.
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -48,6 +48,8 @@
 	ErrResponseHeaderTooLarge = errors.New("http1: response headers exceed 64 KiB: check the server")
 	// ErrTooManyInterim is returned after more than maxInterim interim responses.
 	ErrTooManyInterim = errors.New("http1: too many interim (1xx) responses: check the server")
+	// ErrTooManyConnections is returned if the limit of connections is reached.
+	ErrTooManyConnections = errors.New("http1: all connections that the pool may open are in use: retry later or raise the limit")
 	// errOtherRequest is returned when all responses belong to other requests.
 	errOtherRequest = errors.New("http1: only responses to other requests arrived")
 )
@@ -116,6 +118,8 @@
 	// the context has an owner (see WithOwner). Nil means no limit.
 	Account *holdings.Account
 	Purpose holdings.Purpose
+	// Conns limits the connections; nil means no limit. Idle ones yield to new ones.
+	Conns *holdings.Account
 	// RequestID returns the request ID from the header of a request or response.
 	// Responses with another ID are skipped. One without an ID is accepted only as
 	// the first on its connection, which is then closed, because a duplicate could
@@ -380,20 +384,27 @@
 		if conn == nil {
 			break
 		}
-		if conn.conn.Idle() {
+		conn.conn.slot.SetState(holdings.Running, Clock())
+		if conn.conn.Idle() && !conn.conn.slot.Revoked() {
 			conn.reused = true
 			return conn, nil
 		}
 		_ = conn.conn.Close()
 	}
+	slot, granted := p.options.Conns.Reserve(holdings.Request{Purpose: holdings.Connection, Amount: 1, At: Clock()})
+	if !granted {
+		return nil, ErrTooManyConnections
+	}
 	inner, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		slot.Release()
 		return nil, err
 	}
+	slot.Assign("", func() { _ = inner.Close() })
 	if p.options.OnDial != nil {
 		p.options.OnDial(address)
 	}
-	conn := newConn(inner, p.options.Account, nil)
+	conn := newConn(inner, p.options.Account, slot)
 	limitedReader := &io.LimitedReader{R: conn, N: maxResponseHeader}
 	return &clientConn{
 		conn: conn, limitedReader: limitedReader, address: address,
@@ -424,6 +435,7 @@
 
 func (p *Pool) pushIdle(conn *clientConn) {
 	conn.conn.trim()
+	conn.conn.slot.SetState(holdings.Idle, Clock())
 	latestExpiry := time.Now().Add(p.options.IdleTimeout)
 	if conn.expiresAt.IsZero() || conn.expiresAt.After(latestExpiry) {
 		conn.expiresAt = latestExpiry
--- a/io/http1/server.go
+++ b/io/http1/server.go
@@ -34,6 +34,10 @@
 	// acceptRetryDelay is the delay after Accept has failed, for example because no
 	// file descriptor was free.
 	acceptRetryDelay = 20 * time.Millisecond
+	// placeTimeout is how long an accepted connection may wait until others yield. Those
+	// without progress do after a second.
+	placeTimeout       = 1200 * time.Millisecond
+	placeRetryInterval = 50 * time.Millisecond
 	// minTransferRate is the minimum rate, in bytes per second, at which a client
 	// must send a body or receive a response, after the time allowed for a header.
 	// Even 2G mobile links are faster.
@@ -51,13 +55,14 @@
 	Limits func() Limits
 	// MaxConns limits the open connections; zero means no limit. Accepting one more
 	// closes another one in the order of holdings: idle ones first, then those whose
-	// request or response makes no progress. If there is none, the new one is closed.
+	// request or response makes no progress. If there is none, the new one is closed
+	// after a while.
 	MaxConns int
 	// Account limits the bytes of requests and responses; nil means no limit.
 	Account *holdings.Account
 	// OnRefused is called for each request that is refused before the handler has seen
-	// it, because the account has no room or its body makes no progress. It may be nil.
-	OnRefused func(status int)
+	// it, with ErrMemoryFull, ErrStalled, or what else is wrong. It may be nil.
+	OnRefused func(err error)
 	// OnPanic is called when the handler has panicked. It may be nil.
 	OnPanic func(r *http.Request, err error)
 	// Write writes the body of a response. If nil, the body is written directly.
@@ -128,7 +133,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if conn := newServerConn(s, inner); conn != nil {
+		if conn := s.place(inner); conn != nil {
 			s.mu.Lock()
 			s.conns[conn] = struct{}{}
 			s.mu.Unlock()
@@ -137,6 +142,20 @@
 	}
 }
 
+// place returns the accepted connection once there is room for it, or closes it and
+// returns nil. Others wait in the kernel's accept queue meanwhile.
+func (s *Server) place(inner net.Conn) *serverConn {
+	for deadline := time.Now().Add(placeTimeout); ; time.Sleep(placeRetryInterval) {
+		if conn := newServerConn(s, inner); conn != nil {
+			return conn
+		}
+		if s.stopAccepting.Load() || time.Now().After(deadline) {
+			_ = inner.Close()
+			return nil
+		}
+	}
+}
+
 // Shutdown stops accepting connections, waits for received requests to finish, and
 // closes all connections. Connections in the kernel's accept queue are served
 // first, because closing the listener would reset them and the requests on them.
--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -51,8 +51,7 @@
 	cancel         context.CancelCauseFunc
 }
 
-// newServerConn returns the connection, or closes it and returns nil if there is no room
-// for it.
+// newServerConn returns the connection, or nil if there is no room for it.
 func newServerConn(server *Server, inner net.Conn) *serverConn {
 	c := &serverConn{
 		server: server, inner: inner, pending: make(chan chan *Response, maxPipelined), client: ClientOf(inner.RemoteAddr().String()),
@@ -62,7 +61,6 @@
 		Purpose: holdings.Connection, Client: c.client, Amount: 1, At: Clock(), State: holdings.Idle, Yield: c.yieldPlace,
 	})
 	if !granted {
-		_ = inner.Close()
 		return nil
 	}
 	c.conn = newConn(inner, server.options.Account, c.slot)
@@ -207,6 +205,8 @@
 	case errors.Is(err, ErrMemoryFull):
 		status = http.StatusServiceUnavailable
 		header.Set("Retry-After", memoryRetryAfter)
+	case errors.Is(err, ErrStalled):
+		status = http.StatusRequestTimeout
 	case errors.Is(err, errNoFurtherRequest), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return
 	case errors.As(err, &netErr):
@@ -220,7 +220,7 @@
 		status = http.StatusRequestEntityTooLarge
 	}
 	if c.server.options.OnRefused != nil {
-		c.server.options.OnRefused(status)
+		c.server.options.OnRefused(err)
 	}
 	c.hasUnreadInput.Store(true)
 	c.reserveResponse() <- &Response{Status: status, Header: header}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -187,7 +187,7 @@
 	}
 	body, complete, err := holding.ReadBody(r.Body, r.ContentLength)
 	switch {
-	case errors.Is(err, http1.ErrMemoryFull):
+	case errors.Is(err, http1.ErrMemoryFull), errors.Is(err, http1.ErrStalled):
 		return request, refusal.Wrap(refusal.MemoryFull, refusal.NotRun, err)
 	case err != nil:
 		return request, refusal.Wrap(refusal.BadRequest, refusal.NotRun, err)
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"errors"
 	"syscall"
 	"time"
 
@@ -11,6 +11,7 @@
 
 	"marjoramsaddle/core/holdings"
 	"marjoramsaddle/core/refusal"
+	"marjoramsaddle/io/http1"
 	"marjoramsaddle/platform"
 )
 
@@ -81,15 +82,11 @@
 	return sockoptErr
 }
 
-// countEarlyRefusal counts a request that was refused before the handler has seen it.
-func (d *Daemon) countEarlyRefusal(status int) {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
+// countEarlyRefusal counts a request that was refused for memory before the handler has
+// seen it.
+func (d *Daemon) countEarlyRefusal(err error) {
+	if errors.Is(err, http1.ErrMemoryFull) || errors.Is(err, http1.ErrStalled) {
 		d.metrics.Refusal(refusal.MemoryFull)
-	case http.StatusRequestEntityTooLarge:
-		d.metrics.Refusal(refusal.BodyTooLarge)
-	default:
-		d.metrics.Refusal(refusal.BadRequest)
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -173,6 +173,7 @@
 	d.hopPool = http1.NewPool(http1.PoolOptions{
 		DialTimeout: hopDialTimeout, IdleTimeout: hopIdleTimeout, MaxBodyBytes: maxResponseBytes, TCPUserTimeout: hopSendTimeout,
 		ExchangeField: relay.ExchangeHeader, Account: d.account, Purpose: holdings.Response,
+		Conns: newPlaces(&settings, hopDescriptorShare, hopMemoryShare),
 	})
 	d.controlPool = newControlPool(d.account, nil)
 	d.backendPool = http1.NewPool(http1.PoolOptions{
