core/holdings, io/http1: spare requests in transit; keep the read-ahead of pools between responses

Cause: a connection that was just accepted counted as idle and yielded to the next one before its request was read; giving back read-ahead after each response doubled the memory allocated for a response of 90 KB. Ruled out: counting new connections as receiving, which would keep connections that send nothing for a second.

--- a/core/holdings/eviction.go
+++ b/core/holdings/eviction.go
@@ -20,10 +20,13 @@
 
 // rankOf returns the place of a reservation in the order of eviction.
 func rankOf(r *Reservation, at id.Instant) rank {
-	stalled := r.Stalled(at)
-	switch r.State() {
+	state, stalled := r.State(), r.Stalled(at)
+	switch state {
 	case Idle:
-		return rankIdle
+		if at.Sub(id.Instant(r.movedAt.Load())) >= idleAfter {
+			return rankIdle
+		}
+		return rankProgressing
 	case Receiving:
 		if stalled {
 			return rankStalledReceiving
--- a/core/holdings/holdings.go
+++ b/core/holdings/holdings.go
@@ -67,6 +67,9 @@
 	// stalledAfter is the time without progress after which a reservation counts as
 	// stalled. Retransmissions of a lost packet take up to 600 ms.
 	stalledAfter = time.Second
+	// idleAfter is the time after which an idle connection counts as idle. The request of a
+	// connection that was just opened, or the next one, may be in transit.
+	idleAfter = 100 * time.Millisecond
 	// maxVictims bounds how many reservations yield to a single one.
 	maxVictims = 8
 	// revokedShare bounds the revoked reservations that their owners have not released
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -434,7 +434,6 @@
 }
 
 func (p *Pool) pushIdle(conn *clientConn) {
-	conn.conn.trim()
 	conn.conn.slot.SetState(holdings.Idle, Clock())
 	latestExpiry := time.Now().Add(p.options.IdleTimeout)
 	if conn.expiresAt.IsZero() || conn.expiresAt.After(latestExpiry) {
@@ -458,6 +457,8 @@
 				_ = conn.conn.Close()
 				continue
 			}
+			// Not after each response, since the next one would need the memory again.
+			conn.conn.trim()
 			remaining = append(remaining, conn)
 		}
 		if len(remaining) == 0 {
