--- a/io/http1/holding_test.go
+++ b/io/http1/holding_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -182,3 +184,41 @@
 	is.Equal(late, 1)
 	f.end()
 }
+
+// Guards against a client that stops in the middle of a body that is passed on, and so
+// holds a slot: the request ends, without a claim that it has not run, and is told apart
+// from a failure of the backend server.
+func TestStalledStreamEnds(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 1)
+	source := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	defer source.Close()
+	pool := NewPool(PoolOptions{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxBodyBytes: 1 << 20})
+	defer pool.CloseIdle()
+	limits := strictLimits()
+	limits.BodyBytes = 2 * MaxBufferedBody
+	sendErr := make(chan error, 1)
+	_, address := serveWith(t, ServerOptions{Account: holdings.New(heldLimit), Limits: func() Limits { return limits }, Handler: func(ctx context.Context, r *http.Request) *Response {
+		_, stream, _ := Body(r)
+		_, err := pool.Do(ctx, source.Listener.Addr().String(), &Request{Method: http.MethodPost, Target: "/", Host: "a", Header: http.Header{}, Stream: stream, Length: r.ContentLength})
+		sendErr <- err
+		return nil
+	}})
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 2*MaxBufferedBody, strings.Repeat("x", MaxBufferedBody))
+	is.NoErr(err)
+	<-arrived
+	select {
+	case err := <-sendErr:
+		var failed *SendError
+		is.True(errors.As(err, &failed) && failed.Sent)
+		is.True(errors.Is(err, ErrBodyEnded))
+	case <-time.After(testTimeout):
+		t.Fatal("the request has not ended")
+	}
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -215,7 +215,7 @@
 		p.pushIdle(conn)
 	}
 	if err != nil {
-		if p.options.TCPUserTimeout > 0 && !errors.Is(ctx.Err(), context.Canceled) {
+		if p.options.TCPUserTimeout > 0 && !errors.Is(ctx.Err(), context.Canceled) && !errors.Is(err, ErrBodyEnded) {
 			// The other connections to the address may be broken as well.
 			p.CloseIdleTo(address)
 		}
@@ -232,6 +232,11 @@
 func (p *Pool) exchange(ctx context.Context, conn *clientConn, request *Request) (result *Response, reusable bool, err error) {
 	httpRequest := request.httpRequest()
 	source := &bodySource{Reader: request.Stream}
+	defer func() {
+		if err != nil && source.failed.Load() {
+			err = errors.Join(ErrBodyEnded, err)
+		}
+	}()
 	if request.Stream != nil {
 		httpRequest.Body = io.NopCloser(source)
 	}
--- a/io/http1/response_body.go
+++ b/io/http1/response_body.go
@@ -12,6 +12,9 @@
 	"marjoramsaddle/core/holdings"
 )
 
+// ErrBodyEnded is returned for a request whose body ended early while it was sent.
+var ErrBodyEnded = errors.New("http1: the body of the request ended early: look at its sender")
+
 // roomCheckInterval is how often a response that waits for memory checks for room.
 const roomCheckInterval = 5 * time.Millisecond
 
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -377,8 +377,12 @@
 	if errors.As(err, &sendErr) && !sendErr.Sent {
 		outcome, reason = refusal.NotRun, refusal.ConnectFailed
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		reason = relay.ContextReason(ctx)
+	case errors.Is(err, http1.ErrBodyEnded):
+		// The fault is neither the server's nor the link's.
+		reason = refusal.CallerGone
 	}
 	return refusal.Wrap(reason, outcome, err)
 }
