io/http1: bytes that trickle are no progress while memory is short; sidecar: test of the limits

Cause: a client that sends a byte now and then held its place and its memory for as long as the header timeout allows, and behind the same address as others it kept them out. Ruled out: a deadline for bodies in calm; the configured limits hold there. Before: each byte counted as progress. After: 4 KB in a second do, which is the minimum rate of bodies; TestFloodsAreBounded/bodies_that_trickle. go test -race of io/http1, io/relay and TestMemoryLimits pass.

--- a/io/http1/activity.go
+++ b/io/http1/activity.go
@@ -67,12 +67,14 @@
 	if n == 0 {
 		return n, err
 	}
-	now := Clock()
-	r.slot.Moved(now)
+	if r.sinceMoved += n; r.sinceMoved >= progressStep {
+		r.sinceMoved = 0
+		r.slot.Moved(Clock())
+	}
 	if !r.readingHeader {
 		return n, err
 	}
-	r.holding.moved()
+	r.holding.moved(n)
 	r.headerBytes += n
 	if r.headerBytes > bufferSize && !r.holding.Grow(headerExpansion*int64(n)) {
 		r.headerErr = ErrMemoryFull
--- a/io/http1/holding.go
+++ b/io/http1/holding.go
@@ -28,6 +28,9 @@
 	requestOverhead = 16 << 10
 	// headerExpansion is the memory of a parsed header relative to its length.
 	headerExpansion = 2
+	// progressStep is how much of a request counts as progress: who sends less in the time
+	// after which a request counts as stalled is slower than minTransferRate.
+	progressStep = minTransferRate
 	// firstChunk is the first part of a body of unknown length.
 	firstChunk = 4 << 10
 )
@@ -61,10 +64,12 @@
 	client  holdings.Client
 	yield   func()
 
-	mu       sync.Mutex
-	bytes    int64
-	ordinary *holdings.Reservation
-	large    *holdings.Reservation
+	mu    sync.Mutex
+	bytes int64
+	// sinceMoved counts the bytes that have arrived since the last progress.
+	sinceMoved int
+	ordinary   *holdings.Reservation
+	large      *holdings.Reservation
 }
 
 // NewHolding reserves what every request needs, or returns ErrMemoryFull. Yield is called
@@ -115,14 +120,18 @@
 	return h.ordinary
 }
 
-// moved records that bytes of the request have arrived.
-func (h *Holding) moved() {
+// moved records that n bytes of the request have arrived.
+func (h *Holding) moved(n int) {
 	if h == nil {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.yielding().Moved(Clock())
+	h.sinceMoved += n
+	if h.sinceMoved >= progressStep {
+		h.sinceMoved = 0
+		h.yielding().Moved(Clock())
+	}
 }
 
 // setState sets what the request is doing.
@@ -221,9 +230,7 @@
 
 func (r movingReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
-	if n > 0 {
-		r.holding.moved()
-	}
+	r.holding.moved(n)
 	return n, err
 }
 
--- a/io/http1/holding_test.go
+++ b/io/http1/holding_test.go
@@ -19,6 +19,9 @@
 	"marjoramsaddle/core/holdings"
 )
 
+// trickles is the name of the flood whose bodies arrive byte by byte.
+const trickles = "bodies that trickle"
+
 // heldLimit is the size of the account in these tests.
 const heldLimit = 8 << 20
 
@@ -76,6 +79,17 @@
 	go func() { _, _ = io.WriteString(conn, text) }()
 }
 
+// trickle sends single bytes until a connection is closed by its owner.
+func (f *flood) trickle(conns []net.Conn) {
+	for ; ; time.Sleep(100 * time.Millisecond) {
+		for _, conn := range conns {
+			if _, err := io.WriteString(conn, "x"); errors.Is(err, net.ErrClosed) {
+				return
+			}
+		}
+	}
+}
+
 // await waits until the condition holds.
 func (f *flood) await(what string, condition func() bool) {
 	f.t.Helper()
@@ -126,6 +140,7 @@
 		conns      int
 		exhausts   bool
 	}{
+		{trickles, post(15_000, 10), 600, false},
 		{"bodies that stop", post(500_000, 499_999), 100, true},
 		{"ordinary bodies that stop", post(15_000, 14_999), 600, true},
 		{"long bodies that stop", post(2<<20, 2<<20-1), 100, false},
@@ -139,6 +154,9 @@
 			for range test.conns {
 				f.open(test.text)
 			}
+			if test.name == trickles {
+				go f.trickle(f.conns)
+			}
 			if test.exhausts {
 				f.await("exhausted", func() bool { return f.account.Stats().Refused > 0 })
 			}
--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -42,9 +42,12 @@
 	progress *ProgressWriter
 	// holding is the memory of the request that is being read, headerBytes how much of its
 	// header has been read. They belong to readLoop while readingHeader is set.
-	holding       *Holding
-	headerBytes   int
-	headerErr     error
+	holding     *Holding
+	headerBytes int
+	headerErr   error
+	// sinceMoved counts the bytes read since the last progress of slot. It belongs to whoever
+	// reads from the connection.
+	sinceMoved    int
 	readingHeader bool
 	// hasUnreadInput is set, before the response is queued, if part of a rejected
 	// request was not read. Closing the connection would then reset it.
