--- a/io/http1/idle.go
+++ b/io/http1/idle.go
@@ -1,6 +1,10 @@
 package http1
 
-import "time"
+import (
+	"time"
+
+	"marjoramsaddle/core/holdings"
+)
 
 // popIdle removes and returns the most recently used idle connection, or returns
 // nil if there is none or it has expired.
@@ -23,6 +27,7 @@
 }
 
 func (p *Pool) pushIdle(conn *clientConn) {
+	conn.conn.slot.SetState(holdings.Idle, Clock())
 	latestExpiry := time.Now().Add(p.options.IdleTimeout)
 	if conn.expiresAt.IsZero() || conn.expiresAt.After(latestExpiry) {
 		conn.expiresAt = latestExpiry
@@ -50,7 +55,9 @@
 		for _, conn := range conns {
 			expired := now.After(conn.expiresAt)
 			if !expired && conn.conn.Idle() {
-				remaining = append(remaining, conn)
+				// Not after each response, since the next one would need the memory again.
+			conn.conn.trim()
+			remaining = append(remaining, conn)
 				continue
 			}
 			closed = closed || !expired && conn.conn.Err() != nil
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -109,6 +109,8 @@
 	failures       backend.FailureRate
 	// activeRequests holds the active requests that have an ID, by that ID.
 	activeRequests map[string]*ActiveRequest
+	// streams counts the requests whose body is sent while it arrives.
+	streams int
 }
 
 // New returns a Server that refuses all requests until SetCurrent lists a backend
@@ -258,6 +260,12 @@
 	if current := s.current.Load(); call.Limit.Announced && current != nil && s.options.LimitLearned != nil {
 		s.options.LimitLearned(current, announcement.LearnedLimit{Limit: call.Limit, At: now.Add(-call.LimitAge)})
 	}
+	if request.Stream != nil {
+		if !s.beginStream() {
+			return nil, refusal.New(refusal.QueueFull, refusal.NotRun)
+		}
+		defer s.endStream()
+	}
 	ticket, refused := s.gate.AcquireWork(ctx, now, admission.Work{
 		Rank: admission.RankOf(call.Rank), Call: call.OfRequest, Deadline: deadline, QueueDeadline: now.Add(s.maxQueueWait(call)),
 	})
@@ -382,8 +390,12 @@
 	if errors.As(err, &sendErr) && !sendErr.Sent {
 		outcome, reason = refusal.NotRun, refusal.ConnectFailed
 	}
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		reason = relay.ContextReason(ctx)
+	case errors.Is(err, http1.ErrBodyEnded):
+		// The fault is neither the server's nor the link's.
+		reason = refusal.CallerGone
 	}
 	return refusal.Wrap(reason, outcome, err)
 }
