--- a/io/http1/idle.go
+++ b/io/http1/idle.go
@@ -56,8 +56,8 @@
 			expired := now.After(conn.expiresAt)
 			if !expired && conn.conn.Idle() {
 				// Not after each response, since the next one would need the memory again.
-			conn.conn.trim()
-			remaining = append(remaining, conn)
+				conn.conn.trim()
+				remaining = append(remaining, conn)
 				continue
 			}
 			closed = closed || !expired && conn.conn.Err() != nil
--- a/io/relay/holding_test.go
+++ b/io/relay/holding_test.go
@@ -103,7 +103,7 @@
 				conns = append(conns, conn)
 				go func() { _, _ = io.WriteString(conn, test.text) }()
 			}
-			client := NewClient(pool, port, func(placement.Report) {})
+			client := NewClient(pool, port, func(placement.Report) {}, func(int) {})
 			do := func(length int) *refusal.Error {
 				_, refused := client.Do(t.Context(), &backend.Server{ID: "i-1", Address: host + ":1"}, Call{Server: "i-1", Left: floodTime},
 					&http1.Request{Method: http.MethodPost, Target: "/", Host: "shop", Header: http.Header{}, Body: make([]byte, length)})
