core/admission, io: queue calls of running requests before new requests

Cause: a call of a running request waited behind new requests of its route's priority; its refusal also wastes the run that made it. Ruled out: ranking a call by the priority of the request that makes it, which would serve a route less often than a less urgent one of the same service. Before: TestQueuedCallPrecedesNewRequest fails without queueRank (the new request is served first). After: it passes. Each priority has two ranks; the header Marjoramsaddle-On-Behalf tells the daemon beside the called server. Daemons that do not know the header queue such calls as before.

--- a/core/admission/gate_test.go
+++ b/core/admission/gate_test.go
@@ -268,3 +268,45 @@
 	is.Equal(gate.Expire(500), 0)
 	ticket.Release(600)
 }
+
+// Guards against calls of running requests that wait behind new requests of the same
+// priority, whose refusal wastes no work, and against calls that overtake requests of a
+// higher priority.
+func TestCallsPrecedeNewRequestsOfTheSamePriority(t *testing.T) {
+	is := is.New(t)
+	gate := NewGate(1, 1)
+	running, _, _ := gate.tryAcquireRank(0, RankOf(0), 1000, 1000)
+	arrivals := []struct {
+		name string
+		rank Rank
+	}{
+		{"new, priority 2", RankOf(2)},
+		{"new, priority 1", RankOf(1)},
+		{"call, priority 2", CallRankOf(2)},
+		{"call, priority 1", CallRankOf(1)},
+		{"second call, priority 1", CallRankOf(1)},
+		{"new, priority 0", RankOf(0)},
+	}
+	waiting := make([]*waiter, len(arrivals))
+	for i, arrival := range arrivals {
+		_, queued, reason := gate.tryAcquireRank(0, arrival.rank, 1000, 1000)
+		is.Equal(reason, refusal.None)
+		waiting[i] = queued
+	}
+	var served []string
+	for range arrivals {
+		running.Release(0)
+		for i, queued := range waiting {
+			if queued != nil && queued.ticket != nil {
+				served = append(served, arrivals[i].name)
+				running, waiting[i] = queued.ticket, nil
+			}
+		}
+	}
+	is.Equal(served, []string{
+		"new, priority 0", "call, priority 1", "second call, priority 1", "new, priority 1", "call, priority 2", "new, priority 2",
+	})
+	// Priorities beyond the last one that is told apart share its ranks.
+	is.Equal(CallRankOf(9), CallRankOf(priorityCount-1))
+	is.True(RankOf(9) < rankCount)
+}
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -9,21 +9,36 @@
 // Rank is the priority of a call in the queue. Zero is the highest.
 type Rank int
 
-// rankCount is the number of ranks; routes have about three priorities.
-const rankCount = 4
+const (
+	// priorityCount is the number of priorities that are told apart; routes have about
+	// three.
+	priorityCount = 4
+	// ranksPerPriority are the rank of calls made by running requests and, below it, that
+	// of new requests.
+	ranksPerPriority = 2
+	rankCount        = priorityCount * ranksPerPriority
+)
+
+// RankOf returns the rank of a new request whose route has the given priority.
+func RankOf(priority int) Rank { return CallRankOf(priority) + 1 }
 
-// RankOf returns the rank of a route's priority.
-func RankOf(priority int) Rank { return Rank(min(max(0, priority), rankCount-1)) }
+// CallRankOf returns the rank of a call that a running request makes. It precedes new
+// requests of the same priority, because its refusal also wastes the work that the running
+// request has done. Requests of a higher priority precede it, so that their routes are not
+// served less often than a less urgent one.
+func CallRankOf(priority int) Rank {
+	return Rank(min(max(0, priority), priorityCount-1) * ranksPerPriority)
+}
 
 // classRank returns the rank of a class. An unknown class ranks last.
 func classRank(class document.Class) Rank {
 	switch class {
 	case document.ClassOrder:
-		return 0
+		return RankOf(0)
 	case document.ClassLookup:
-		return 1
+		return RankOf(1)
 	case document.ClassInternal:
-		return 2
+		return RankOf(2)
 	default:
 		return rankCount - 1
 	}
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -125,7 +125,7 @@
 	j.record.Attempts++
 	j.record.Server, j.record.Expected = choice.Server.ID, choice.Expected
 	call := relay.Call{
-		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority,
+		Server: choice.Server.ID, Left: j.deadline.Sub(now), Rank: j.route.Priority, OnBehalf: j.parent != nil,
 		Aim: j.route.Aim, NoWait: number <= noWaitAttempts, Large: j.route.Large,
 		Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
 	}
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -374,5 +374,6 @@
 	is.Equal(checked[2].Deadline, checked[0].Deadline.Add(-200*time.Millisecond))
 	is.Equal(checked[2].Arrived, checked[0].Arrived)
 	is.Equal(checked[0].Origin, shutdown.Call)
+	is.True(e.calls[0].OnBehalf)
 	is.Equal(checked[0].Deadline.Sub(checked[0].Arrived), 300*time.Millisecond)
 }
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -40,6 +40,7 @@
 	headerServer      = headerPrefix + "Server"
 	headerLeft        = headerPrefix + "Left-Us"
 	headerRank        = headerPrefix + "Rank"
+	headerOnBehalf    = headerPrefix + "On-Behalf"
 	headerAim         = headerPrefix + "Aim-Us"
 	headerExpected    = headerPrefix + "Expected-Us"
 	headerCallRefused = headerPrefix + "Call-Refused"
@@ -74,6 +75,9 @@
 	Left time.Duration
 	// Rank is the priority of the request; zero is the most urgent.
 	Rank int
+	// OnBehalf is set if a running request makes the call. It is queued before new requests
+	// of the same priority.
+	OnBehalf bool
 	// Aim is the target response time. Later responses are worth less to the client.
 	Aim time.Duration
 	// Expected is how long such requests take on average, or zero if that is unknown.
@@ -113,6 +117,9 @@
 	if c.Expected > 0 {
 		header.Set(headerExpected, strconv.FormatInt(c.Expected.Microseconds(), 10))
 	}
+	if c.OnBehalf {
+		header.Set(headerOnBehalf, flagTrue)
+	}
 	if c.NoWait {
 		header.Set(headerNoWait, flagTrue)
 	}
@@ -168,8 +175,9 @@
 	call := Call{
 		Server: backend.ID(header.Get(headerServer)), Rank: rank,
 		Left: durations[0], Aim: durations[1],
-		NoWait: header.Get(headerNoWait) == flagTrue,
-		Large:  header.Get(headerLarge) == flagTrue,
+		OnBehalf: header.Get(headerOnBehalf) == flagTrue,
+		NoWait:   header.Get(headerNoWait) == flagTrue,
+		Large:    header.Get(headerLarge) == flagTrue,
 	}
 	if call.Expected, err = readExpected(header); err != nil {
 		return Call{}, err
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -78,10 +78,10 @@
 	is := is.New(t)
 	local := &fakeBackend{response: &http1.Response{Status: 201, Header: http.Header{"X-Stamp": {"s"}, "Connection": {"close"}}, Body: []byte("done")}}
 	call := Call{
-		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, Aim: 300 * time.Millisecond, NoWait: true, Expected: 250 * time.Millisecond,
+		Server: "i-1", Left: 700 * time.Millisecond, Rank: 1, OnBehalf: true, Aim: 300 * time.Millisecond, NoWait: true, Expected: 250 * time.Millisecond,
 		Limit: announcement.Limit{Announced: true, Rate: 27.6}, LimitAge: 1500 * time.Millisecond,
 	}
-	response, refused, reports := send(t, local, call, http.Header{"X-Id": {"1"}, "Marjoramsaddle-Rank": {"0"}})
+	response, refused, reports := send(t, local, call, http.Header{"X-Id": {"1"}, "Marjoramsaddle-Rank": {"0"}, "Marjoramsaddle-On-Behalf": {"1"}})
 	is.True(refused == nil)
 	is.Equal(response.Status, 201)
 	is.Equal(string(response.Body), "done")
@@ -95,6 +95,7 @@
 	is.Equal(local.request.Target, "/a?b")
 	is.Equal(local.request.Header.Get("X-Id"), "1")
 	is.Equal(local.request.Header.Get(headerRank), "")
+	is.Equal(local.request.Header.Get(headerOnBehalf), "")
 	is.Equal(reports, []placement.Report{local.Load()})
 }
 
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -247,8 +247,7 @@
 	if current := s.current.Load(); call.Limit.Announced && current != nil && s.options.LimitLearned != nil {
 		s.options.LimitLearned(current, announcement.LearnedLimit{Limit: call.Limit, At: now.Add(-call.LimitAge)})
 	}
-	rank := admission.RankOf(call.Rank)
-	ticket, refused := s.gate.AcquireRank(ctx, now, rank, deadline, now.Add(s.maxQueueWait(call)))
+	ticket, refused := s.gate.AcquireRank(ctx, now, queueRank(call), deadline, now.Add(s.maxQueueWait(call)))
 	if refused != nil {
 		return nil, refused
 	}
@@ -293,6 +292,14 @@
 	return response, nil
 }
 
+// queueRank returns the rank of the request in the queue.
+func queueRank(call relay.Call) admission.Rank {
+	if call.OnBehalf {
+		return admission.CallRankOf(call.Rank)
+	}
+	return admission.RankOf(call.Rank)
+}
+
 // recordResponse passes a response to Options.Responded, unless it may come from
 // something else than the backend server.
 func (s *Server) recordResponse(server *backend.Server, response *http1.Response, refused *refusal.Error, sentAt id.Instant) {
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -64,6 +64,35 @@
 	return s.Send(context.Background(), c, &http1.Request{Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {"1"}}})
 }
 
+// Guards against a call of a running request that waits behind a new request of the same
+// priority which came before it.
+func TestQueuedCallPrecedesNewRequest(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan string, 3), make(chan struct{})
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- r.Header.Get("Id")
+		<-release
+		w.Header().Set("Stamp", "1")
+	})
+	send := func(requestID string, onBehalf bool, queued int) {
+		call := newCall()
+		call.Rank, call.OnBehalf, call.Left, call.Aim = 1, onBehalf, time.Minute, 0
+		go func() {
+			_, _ = s.Send(context.Background(), call, &http1.Request{Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {requestID}}})
+		}()
+		for s.Load().Queued < queued {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	send("running", false, 0)
+	is.Equal(<-arrived, "running")
+	send("new", false, 1)
+	send("call", true, 2)
+	close(release)
+	is.Equal(<-arrived, "call")
+	is.Equal(<-arrived, "new")
+}
+
 // Guards against responses that are forwarded or refused with an outcome they do
 // not prove.
 func TestClassify(t *testing.T) {
