--- a/core/callroom/callroom.go
+++ b/core/callroom/callroom.go
@@ -95,7 +95,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.routes[route]
-	if state == nil {
+	if state == nil || state.isUnused(at) {
 		return Decision{Admitted: true, Share: 1}
 	}
 	t.advance(route, state, at)
@@ -117,11 +117,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.routes[run.route]
-	if state == nil {
+	if state == nil || state.isUnused(at) {
+		t.forgetUnused(at)
 		if !callRefused {
 			return
 		}
-		t.forgetUnused(at)
 		state = newRouteState(at)
 		t.routes[run.route] = state
 	}
@@ -134,9 +134,10 @@
 
 // Status returns the state of the routes of which runs have lately failed for a refused
 // call.
-func (t *Table) Status() map[string]Status {
+func (t *Table) Status(at id.Instant) map[string]Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forgetUnused(at)
 	all := make(map[string]Status, len(t.routes))
 	for route, state := range t.routes {
 		all[route] = Status{Admitted: state.admitted, CallRefused: Share(state.recent.share())}
@@ -157,7 +158,7 @@
 // the configuration no longer has them.
 func (t *Table) forgetUnused(at id.Instant) {
 	for route, state := range t.routes {
-		if at.Sub(state.recent.at) > forgetAfter {
+		if state.isUnused(at) {
 			delete(t.routes, route)
 		}
 	}
--- a/core/callroom/callroom_test.go
+++ b/core/callroom/callroom_test.go
@@ -180,7 +180,7 @@
 	table := newTable(1)
 	fail(table, "orders", 1, at)
 	is.Equal(table.Admit("orders", 1<<63, at), Decision{Admitted: true, Share: 1})
-	is.Equal(table.Status()["orders"], Status{Admitted: 1, CallRefused: 1})
+	is.Equal(table.Status(at)["orders"], Status{Admitted: 1, CallRefused: 1})
 	fail(table, "orders", 3, at)
 	decision := table.Admit("orders", 1<<64-1, at)
 	is.True(!decision.Admitted)
@@ -214,10 +214,11 @@
 	play(2500*time.Millisecond, false)
 	is.Equal(table.Admit("orders", 1<<64-1, at).Share, Share(1))
 	table.Ended(table.Begun("orders", at), false, at)
-	is.Equal(len(table.Status()), 0)
+	is.Equal(len(table.Status(at)), 0)
 	fail(table, "former", 1, at)
-	fail(table, "orders", 1, at.Add(forgetAfter+time.Second))
-	is.Equal(len(table.Status()), 1)
+	at = at.Add(forgetAfter + time.Second)
+	fail(table, "orders", 1, at)
+	is.Equal(len(table.Status(at)), 1)
 }
 
 // Guards against runs that began before the share was lowered and lower it again, although
--- a/core/callroom/route.go
+++ b/core/callroom/route.go
@@ -114,6 +114,9 @@
 	return s.admitted == 1 && s.recent.failed < negligibleFailures
 }
 
+// isUnused reports whether no run has ended for so long that the state says nothing.
+func (s *routeState) isUnused(at id.Instant) bool { return at.Sub(s.recent.at) > forgetAfter }
+
 // setOccupancy sets the used share of the slots of the called services.
 func (s *routeState) setOccupancy(used float64, known bool, at id.Instant) {
 	s.occupancyAt = at
