core/callroom, sidecar: refuse most requests of routes whose runs mostly fail

Cause: where the load reports show room, at least half of the requests were admitted, also while every run failed. Ruled out: dropping that bound; failures that do not depend on the load would then close a route of which most runs succeed.

--- a/core/callroom/callroom_test.go
+++ b/core/callroom/callroom_test.go
@@ -248,8 +248,18 @@
 	at := id.Instant(time.Hour)
 	table := newTable(0.3)
 	for range 100 {
-		fail(table, "orders", 10, at)
+		fail(table, "orders", 4, at)
+		for range 6 {
+			table.Ended(table.Begun("orders", at), false, at)
+		}
 		at = at.Add(300 * time.Millisecond)
 	}
 	is.True(table.Admit("orders", 0, at).Share >= minAdmittedWithRoom)
+	// Where nearly all runs fail, such as by servers that reject what they have room for,
+	// the share falls further.
+	for range 100 {
+		fail(table, "orders", 10, at)
+		at = at.Add(300 * time.Millisecond)
+	}
+	is.True(table.Admit("orders", 0, at).Share < 0.1)
 }
--- a/core/callroom/route.go
+++ b/core/callroom/route.go
@@ -32,9 +32,11 @@
 	maxStep = 0.5
 	// minAdmitted is the least admitted share, from which it recovers within two seconds.
 	minAdmitted = 0.05
-	// minAdmittedWithRoom applies while the load reports show room. Calls are then refused
-	// for another reason than the load, which fewer runs need not change.
+	// minAdmittedWithRoom applies while the load reports show room and at most the share
+	// mostlyFailed of the runs fails. Calls are then refused for another reason than the
+	// load, which fewer runs need not change, and most runs are worth their start.
 	minAdmittedWithRoom = 0.5
+	mostlyFailed        = 0.5
 	// roomBelow and fullFrom are the used shares of the slots below which a service has room
 	// and from which it is full. Between them nothing is concluded, since reports are up to
 	// half a second old.
@@ -136,7 +138,7 @@
 	s.admitted *= Share(math.Exp(slowGrowth * elapsed.Seconds()))
 	served := s.servedInRow >= s.clearRuns
 	switch {
-	case s.hasRoom, served && !s.isFull:
+	case s.hasRoom && s.servedInRow > 0, served && !s.isFull:
 		s.admitted += Share(growthPerSecond * at.Sub(s.clearSince).Seconds() * elapsed.Seconds())
 	case served:
 		s.admitted += Share(fullGrowth * elapsed.Seconds())
@@ -206,7 +208,7 @@
 // share of the runs that failed at the present one.
 func (s *routeState) lower(failed float64, at id.Instant) {
 	least := Share(minAdmitted)
-	if s.hasRoom {
+	if s.hasRoom && failed <= mostlyFailed {
 		least = minAdmittedWithRoom
 	}
 	former := s.admitted
