--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -6,8 +6,9 @@
 // so its outcome is not_run.
 //
 // The queue is bounded in length and in time. Calls are served by class (order, lookup,
-// internal) and in order of arrival within a class; every eighth slot goes to the call
-// with the earliest queue deadline, regardless of class. A call is refused on arrival if
+// internal) or rank and in order of arrival within it. Calls made by running requests rank
+// before new requests of the same priority (see CallRankOf). Every eighth slot goes to the call
+// with the earliest queue deadline, regardless of rank. A call is refused on arrival if
 // the calls ahead of it, at the measured service time, would delay it past its queue
 // deadline. A queued call must also leave enough time before its deadline for the
 // measured service time and its deviation, because a late response is wasted work.
