core/callroom: forget unused routes also while their state is read

Cause: reading the gauges counted as use, so that routes that a configuration no longer has were kept. Ruled out: copies of the counts for reading. Before: TestRouteIsSampledAndRecovers, extended, finds two routes instead of one. After: it passes.

--- a/core/callroom/callroom.go
+++ b/core/callroom/callroom.go
@@ -142,6 +142,7 @@
 		state = newRouteState(at)
 		t.routes[route] = state
 	}
+	state.usedAt = at
 	return state
 }
 
--- a/core/callroom/callroom_test.go
+++ b/core/callroom/callroom_test.go
@@ -221,9 +221,13 @@
 	table.Ended(table.Begun("orders", at), false, at)
 	is.Equal(len(table.Status(at)), 0)
 	fail(table, "former", 1, at)
-	at = at.Add(forgetAfter + time.Second)
+	for end := at.Add(forgetAfter + time.Second); at.Before(end); at = at.Add(time.Second) {
+		// Reading the state does not count as use.
+		table.Status(at)
+	}
 	fail(table, "orders", 1, at)
 	is.Equal(len(table.Status(at)), 1)
+	is.Equal(len(table.routes), 1)
 }
 
 // Guards against runs that began before the share was lowered and lower it again, although
--- a/core/callroom/route.go
+++ b/core/callroom/route.go
@@ -78,6 +78,8 @@
 	grownAt        id.Instant
 	lastAdmittedAt id.Instant
 	demand         demand
+	// usedAt is when the last request arrived or the last run ended.
+	usedAt id.Instant
 	// loweredAt is when the rate was last lowered. Runs that began before show nothing
 	// about the present one.
 	loweredAt id.Instant
@@ -134,7 +136,7 @@
 // isUnused reports whether there has been no request and no run for so long that the state
 // says nothing.
 func (s *routeState) isUnused(at id.Instant) bool {
-	return at.Sub(max(s.recent.at, s.demand.at)) > forgetAfter
+	return at.Sub(s.usedAt) > forgetAfter
 }
 
 // setOccupancy sets the used share of the slots of the called services.
