sidecar, platform/platformtest: names of the platform out of a test

Cause: TestPlatformNamesStayInPackage fails: sidecar/callroom_test.go names headers of the platform. Ruled out: nothing. After: it passes, with TestCalledServiceWithoutRoom.

--- a/sidecar/callroom_test.go
+++ b/sidecar/callroom_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/platform"
 	"marjoramsaddle/platform/platformtest"
 )
 
@@ -35,13 +36,10 @@
 		called.backend.Respond(w)
 	})
 	caller.backend.SetHandler(func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("X-Marjoramsaddle-Request-Id") + ".1"
+		id := platform.Headers{}.RequestID(r.Header) + ".1"
 		response, err := platformtest.Call(r.Context(), f.address(caller.ip, 0), http.MethodGet, "/crates/x", id, clientTimeout, "")
 		if err != nil || response.Status != http.StatusOK {
-			recorder := httptest.NewRecorder()
-			caller.backend.Respond(recorder)
-			w.Header().Set("X-Marjoramsaddle-Response-Signature", recorder.Header().Get("X-Marjoramsaddle-Response-Signature"))
-			w.WriteHeader(http.StatusInternalServerError)
+			caller.backend.RespondFailed(w)
 			return
 		}
 		caller.backend.Respond(w)
