--- a/core/admission/coldload_test.go
+++ b/core/admission/coldload_test.go
@@ -204,8 +204,12 @@
 
 // newRequest sends a request of a random priority; a tenth are calls.
 func (w *simulation) newRequest() {
-	rank := []Rank{0, 0, 1, 1, 1, 2, 2, 2, 2, 2}[w.random.IntN(10)]
-	r := &simulatedRequest{arrived: w.now, Work: Work{Rank: rank, Call: w.random.IntN(10) == 0, Deadline: w.now.Add(simulatedTimeout)}}
+	priority := []int{0, 0, 1, 1, 1, 2, 2, 2, 2, 2}[w.random.IntN(10)]
+	rank := RankOf(priority)
+	if w.random.IntN(10) == 0 {
+		rank = CallRankOf(priority)
+	}
+	r := &simulatedRequest{arrived: w.now, Work: Work{Rank: rank, Deadline: w.now.Add(simulatedTimeout)}}
 	w.requests = append(w.requests, r)
 	w.attempt(r, w.choosers[w.random.IntN(len(w.choosers))])
 }
@@ -352,8 +356,8 @@
 func isServed(r *simulatedRequest) bool { return r.served }
 func isOnTime(r *simulatedRequest) bool { return r.served && r.endedAt.Sub(r.arrived) <= simulatedAim }
 
-func ofRank(rank Rank) func(*simulatedRequest) bool {
-	return func(r *simulatedRequest) bool { return r.Rank == rank }
+func ofPriority(priority int) func(*simulatedRequest) bool {
+	return func(r *simulatedRequest) bool { return r.Rank == RankOf(priority) || r.Rank == CallRankOf(priority) }
 }
 
 // Guards against a fleet that does not come back after a power loss everywhere: all
@@ -388,7 +392,7 @@
 			}
 		}
 	}
-	shares := []float64{w.share(begin, end, ofRank(0), isServed), w.share(begin, end, ofRank(1), isServed), w.share(begin, end, ofRank(2), isServed)}
+	shares := []float64{w.share(begin, end, ofPriority(0), isServed), w.share(begin, end, ofPriority(1), isServed), w.share(begin, end, ofPriority(2), isServed)}
 	after := w.share(end, end.Add(4*time.Second), anyRequest, isOnTime)
 	t.Logf("%d arrivals at %d servers, shares by priority %.2f, %d attempts for %d requests, on time before %.3f, after %.3f",
 		arrived, servers, shares, attempts, requests, before, after)
--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -21,8 +21,13 @@
 	return gate
 }
 
-func work(rank Rank, call bool, wait time.Duration) Work {
-	return Work{Rank: rank, Call: call, Deadline: coldNow.Add(time.Minute), QueueDeadline: coldNow.Add(wait)}
+// work returns work of the priority; call is set for a call of a running request.
+func work(priority int, call bool, wait time.Duration) Work {
+	rank := RankOf(priority)
+	if call {
+		rank = CallRankOf(priority)
+	}
+	return Work{Rank: rank, Deadline: coldNow.Add(time.Minute), QueueDeadline: coldNow.Add(wait)}
 }
 
 // Guards against calls of running requests that wait behind new requests of their
@@ -32,7 +37,7 @@
 	gate := newColdGate(time.Minute)
 	arriving := []Work{
 		work(2, false, 5*time.Second), work(1, false, 5*time.Second), work(1, true, 5*time.Second),
-		work(0, false, 5*time.Second), work(2, true, 5*time.Second), work(rankHealthCheck, false, 5*time.Second),
+		work(0, false, 5*time.Second), work(2, true, 5*time.Second), {Rank: rankHealthCheck, Deadline: coldNow.Add(time.Minute), QueueDeadline: coldNow.Add(5 * time.Second)},
 	}
 	waiters := make([]*waiter, 0, len(arriving))
 	for _, w := range arriving {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -14,8 +14,13 @@
 	// rankHealthCheck is the rank of health checks. They end a doubt that limits all
 	// other calls.
 	rankHealthCheck Rank = -1
-	// rankCount is the number of ranks of calls; routes have about three priorities.
-	rankCount = 4
+	// priorityCount is the number of priorities that are told apart; routes have about
+	// three.
+	priorityCount = 4
+	// ranksPerPriority are the rank of calls made by running requests and, below it, that
+	// of new requests.
+	ranksPerPriority = 2
+	rankCount        = priorityCount * ranksPerPriority
 	// listCount is the number of lists in the queue, one per rank.
 	listCount = rankCount + 1
 )
@@ -23,18 +28,26 @@
 // list returns the index of the rank's list in the queue.
 func (r Rank) list() int { return int(r - rankHealthCheck) }
 
-// RankOf returns the rank of a route's priority.
-func RankOf(priority int) Rank { return Rank(min(max(0, priority), rankCount-1)) }
+// RankOf returns the rank of a new request whose route has the given priority.
+func RankOf(priority int) Rank { return CallRankOf(priority) + 1 }
+
+// CallRankOf returns the rank of a call that a running request makes. It precedes new
+// requests of the same priority, because its refusal also wastes the work that the running
+// request has done. Requests of a higher priority precede it, so that their routes are not
+// served less often than a less urgent one.
+func CallRankOf(priority int) Rank {
+	return Rank(min(max(0, priority), priorityCount-1) * ranksPerPriority)
+}
 
 // classRank returns the rank of a class. An unknown class ranks last.
 func classRank(class document.Class) Rank {
 	switch class {
 	case document.ClassOrder:
-		return 0
+		return RankOf(0)
 	case document.ClassLookup:
-		return 1
+		return RankOf(1)
 	case document.ClassInternal:
-		return 2
+		return RankOf(2)
 	default:
 		return rankCount - 1
 	}
@@ -65,17 +78,6 @@
 	return w.ticket, nil
 }
 
-// oldestCall returns the oldest call of a running request in the list that begins with
-// the given waiter, or the waiter itself if there is none.
-func (w *waiter) oldestCall() *waiter {
-	for other := w; other != nil; other = other.next {
-		if other.Call {
-			return other
-		}
-	}
-	return w
-}
-
 // queue holds one list of waiting calls per rank, in order of arrival.
 type queue struct {
 	head  [listCount]*waiter
@@ -114,17 +116,15 @@
 }
 
 // removeIf removes the calls for which drop returns true. The function drop has already
-// completed them. It is called by rank, for the calls of running requests before others.
+// completed them. It is called in the order of the queue.
 func (q *queue) removeIf(drop func(*waiter) bool) {
 	for list := range q.head {
-		for _, calls := range []bool{true, false} {
-			for w := q.head[list]; w != nil; {
-				next := w.next
-				if w.Call == calls && drop(w) {
-					q.remove(w)
-				}
-				w = next
+		for w := q.head[list]; w != nil; {
+			next := w.next
+			if drop(w) {
+				q.remove(w)
 			}
+			w = next
 		}
 	}
 }
--- a/io/server/server.go
+++ b/io/server/server.go
@@ -267,7 +267,7 @@
 		defer s.endStream()
 	}
 	ticket, refused := s.gate.AcquireWork(ctx, now, admission.Work{
-		Rank: admission.RankOf(call.Rank), Call: call.OfRequest, Deadline: deadline, QueueDeadline: now.Add(s.maxQueueWait(call)),
+		Rank: queueRank(call), Deadline: deadline, QueueDeadline: now.Add(s.maxQueueWait(call)),
 	})
 	if refused != nil {
 		return nil, s.withoutConnection(refused)
@@ -308,12 +308,23 @@
 		s.recordResult(started, false, true)
 	case callRefused:
 		relay.MarkCallRefused(response.Header)
+		if active.callNoRoom.Load() {
+			relay.MarkCallNoRoom(response.Header)
+		}
 	default:
 		s.recordResult(started, response.Status != http.StatusGatewayTimeout, false)
 	}
 	return response, nil
 }
 
+// queueRank returns the rank of the request in the queue.
+func queueRank(call relay.Call) admission.Rank {
+	if call.OfRequest {
+		return admission.CallRankOf(call.Rank)
+	}
+	return admission.RankOf(call.Rank)
+}
+
 // recordResponse passes a response to Options.Responded, unless it may come from
 // something else than the backend server.
 func (s *Server) recordResponse(server *backend.Server, response *http1.Response, refused *refusal.Error, sentAt id.Instant) {
