--- a/core/admission/coldstart_test.go
+++ b/core/admission/coldstart_test.go
@@ -37,7 +37,8 @@
 	gate := newColdGate(time.Minute)
 	arriving := []Work{
 		work(2, false, 5*time.Second), work(1, false, 5*time.Second), work(1, true, 5*time.Second),
-		work(0, false, 5*time.Second), work(2, true, 5*time.Second), {Rank: rankHealthCheck, Deadline: coldNow.Add(time.Minute), QueueDeadline: coldNow.Add(5 * time.Second)},
+		work(0, false, 5*time.Second), work(2, true, 5*time.Second),
+		{Rank: rankHealthCheck, Deadline: coldNow.Add(time.Minute), QueueDeadline: coldNow.Add(5 * time.Second)},
 	}
 	waiters := make([]*waiter, 0, len(arriving))
 	for _, w := range arriving {
