--- a/cmd/marjoramsaddle-sidecar/stop_fleet_test.go
+++ b/cmd/marjoramsaddle-sidecar/stop_fleet_test.go
@@ -113,8 +113,16 @@
 	return report.String()
 }
 
-func (p *play) address(h *stoppedHost, port int) string {
-	return fmt.Sprintf("%s:%d", h.ip, firstPort+os.Getpid()%portBlocks*portCount+port)
+func (p *play) address(h *stoppedHost, port int) string { return hostAddress(h.ip, port) }
+
+// hostAddress returns the address of a port, given by its index, at the IP address.
+func hostAddress(ip string, port int) string {
+	return fmt.Sprintf("%s:%d", ip, firstPort+os.Getpid()%portBlocks*portCount+port)
+}
+
+// hostIP returns the IP address of host i in the given network of this test process.
+func hostIP(network, i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%8, 1+network, 1+i)
 }
 
 // startHosts starts three hosts, each in a failure domain of its own, and waits until
@@ -131,7 +139,7 @@
 		platformtest.Route(slow, "/slow/", "unsafe", shop, longTimeout, 1),
 		platformtest.Route("look", "/look/", "safe", shop, time.Second, 2)))
 	for i, service := range []string{solo, shop, shop} {
-		h := &stoppedHost{ip: fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%8, 1+p.network, 1+i)}
+		h := &stoppedHost{ip: hostIP(p.network, i)}
 		p.hosts = append(p.hosts, h)
 		var err error
 		if h.backend, err = platformtest.NewBackend(fmt.Sprint("i-", i), service, p.address(h, portBackend)); err != nil {
@@ -151,7 +159,7 @@
 		}
 		p.store.Put(platformtest.ServerPrefix+h.backend.Name, h.backend.Entry(domain, "ready", slots))
 		if h.daemon, err = process.Start(process.Spec{
-			Path: program, Args: []string{"run", "--settings", h.file, "--metrics-port", "0"}, Output: p.logFile(h),
+			Path: program, Args: []string{"run", "--settings", h.file, "--metrics-port", "0"}, Output: logFile(p.t, h.ip),
 		}); err != nil {
 			p.t.Fatal(err)
 		}
@@ -163,18 +171,18 @@
 	}
 }
 
-// logFile returns the file for the output of a daemon: in the folder that STOP_LOGS
-// names, to look at after the test, or nil.
-func (p *play) logFile(h *stoppedHost) io.Writer {
+// logFile returns the file for the output of the daemon at the IP address: in the folder
+// that STOP_LOGS names, to look at after the test, or nil.
+func logFile(t *testing.T, ip string) io.Writer {
 	folder := os.Getenv("STOP_LOGS")
 	if folder == "" {
 		return nil
 	}
-	log, err := os.Create(filepath.Join(folder, filepath.Base(p.t.Name())+"-"+h.ip+".log"))
+	log, err := os.Create(filepath.Join(folder, filepath.Base(t.Name())+"-"+ip+".log"))
 	if err != nil {
-		p.t.Fatal(err)
+		t.Fatal(err)
 	}
-	p.t.Cleanup(func() { _ = log.Close() })
+	t.Cleanup(func() { _ = log.Close() })
 	return log
 }
 
--- a/cmd/marjoramsaddle-sidecar/stop_test.go
+++ b/cmd/marjoramsaddle-sidecar/stop_test.go
@@ -37,10 +37,7 @@
 // Most scripts hold one request of 4.5 s, so that the daemon still listens when it
 // refuses the late ones, and requests on the route look, so that its clients are not quiet.
 func TestStops(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "sidecar")
-	if built, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build the daemon: %v\n%s", err, built)
-	}
+	program := buildDaemon(t)
 	paths, err := filepath.Glob("testdata/stops/*")
 	if err != nil || len(paths) == 0 {
 		t.Fatalf("no scripts in testdata/stops: %v", err)
@@ -66,6 +63,16 @@
 	}
 }
 
+// buildDaemon builds the daemon, always without the race detector, and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "sidecar")
+	if built, err := exec.Command("go", "build", "-race=false", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, built)
+	}
+	return program
+}
+
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // group is a number of requests of one kind that are sent in a series.
