io/http1, sidecar: headers with many short fields and connections stay within the limits

Cause: the parser takes many times the bytes of short header fields; the shares of descriptors were taken of all of them, though 200 are reserved for files. Ruled out: a limit of the number of fields, which clients within the configured limits may exceed.

--- a/io/http1/activity.go
+++ b/io/http1/activity.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"sync"
 
 	"marjoramsaddle/core/holdings"
@@ -76,9 +77,24 @@
 	}
 	r.holding.moved(n)
 	r.headerBytes += n
-	if r.headerBytes > bufferSize && !r.holding.Grow(headerExpansion*int64(n)) {
+	if expansion := r.expansion(p[:n]); expansion > 0 && !r.holding.Grow(expansion) {
 		r.headerErr = ErrMemoryFull
 		return 0, r.headerErr
 	}
 	return n, err
 }
+
+// expansion returns the memory that the next part of a header takes beyond what is reserved
+// for every request. Short fields take many times their length when they are parsed.
+func (r *headerReader) expansion(part []byte) int64 {
+	var bytesNeeded int64
+	if r.headerBytes > bufferSize {
+		bytesNeeded = headerExpansion * int64(len(part))
+	}
+	lines := bytes.Count(part, []byte{'\n'})
+	r.headerLines += lines
+	if beyond := min(lines, r.headerLines-ordinaryHeaderLines); beyond > 0 {
+		bytesNeeded += headerLineBytes * int64(beyond)
+	}
+	return bytesNeeded
+}
--- a/io/http1/holding.go
+++ b/io/http1/holding.go
@@ -28,6 +28,11 @@
 	requestOverhead = 16 << 10
 	// headerExpansion is the memory of a parsed header relative to its length.
 	headerExpansion = 2
+	// ordinaryHeaderLines is the number of header lines that are included in what is reserved
+	// for every request, and headerLineBytes the memory that the parser needs for each
+	// further one: headers of 15 KB with empty fields took about 270 KB each.
+	ordinaryHeaderLines = 64
+	headerLineBytes     = 128
 	// progressStep is how much of a request counts as progress: who sends less in the time
 	// after which a request counts as stalled is slower than minTransferRate.
 	progressStep = minTransferRate
--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -44,6 +44,8 @@
 	// header has been read. They belong to readLoop while readingHeader is set.
 	holding     *Holding
 	headerBytes int
+	// headerLines counts the lines of that header.
+	headerLines int
 	headerErr   error
 	// sinceMoved counts the bytes read since the last progress of slot. It belongs to whoever
 	// reads from the connection.
@@ -177,7 +179,7 @@
 		return nil, err
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	c.readingHeader, c.headerBytes, c.headerErr = true, 0, nil
+	c.readingHeader, c.headerBytes, c.headerLines, c.headerErr = true, 0, 0, nil
 	request, err := http.ReadRequest(c.reader)
 	c.readingHeader = false
 	if err != nil {
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -27,8 +27,10 @@
 	hopMemoryShare    = 0.1
 	otherMemoryShare  = 0.05
 	connectionBytes   = 40 << 10
+	// fileDescriptors is how many of the process's descriptors are reserved for files.
+	fileDescriptors = 200
 	// callerDescriptorShare, hopDescriptorShare and otherDescriptorShare are the shares of
-	// the process's file descriptors. The rest is for connections to the backend server, to
+	// the remaining descriptors. The rest is for connections to the backend server, to
 	// other daemons and to the store.
 	callerDescriptorShare = 0.5
 	hopDescriptorShare    = 0.15
@@ -52,7 +54,10 @@
 
 // maxConnections returns how many connections a listener may have, or zero without limit.
 func maxConnections(settings *platform.Settings, descriptorShare, memoryShare float64) int {
-	limit := int(descriptorShare * float64(settings.Descriptors))
+	limit := 0
+	if settings.Descriptors > 0 {
+		limit = max(1, int(descriptorShare*float64(settings.Descriptors-fileDescriptors)))
+	}
 	if settings.MemoryBytes <= 0 {
 		return limit
 	}
