io/http1: a receiver may pause within a long body

Ruled out: no timeout at all, with which a cut link is noticed at the deadline only. Before: TestReceiverPausesWithinLongBody fails (unexpected EOF).

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -210,9 +210,12 @@
 	if p.options.ExchangeField != "" {
 		request.Header.Set(p.options.ExchangeField, strconv.FormatUint(p.exchangeCount.Add(1), 10))
 	}
+	if request.Stream != nil {
+		p.tolerateSlowReader(conn)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.conn.Close() })
 	response, reusable, err := p.exchange(ctx, conn, request)
-	if !stop() || !reusable || err != nil {
+	if !stop() || !reusable || err != nil || request.Stream != nil {
 		_ = conn.conn.Close()
 	} else {
 		p.pushIdle(conn)
--- a/io/http1/pool_robustness_test.go
+++ b/io/http1/pool_robustness_test.go
@@ -323,3 +323,41 @@
 	is.Equal(string(got.Body), "late")
 	is.Equal(requests.Load(), int64(1))
 }
+
+// Guards against a long body that is given up because its receiver stops reading for longer
+// than TCPUserTimeout, as a busy backend server does: its window is then closed, and the
+// kernel counts that time as well.
+func TestReceiverPausesWithinLongBody(t *testing.T) {
+	is := is.New(t)
+	const timeout, length = 200 * time.Millisecond, 16 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		time.Sleep(8 * timeout)
+		if readRequest(bufio.NewReader(conn)) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	pool := NewPool(PoolOptions{DialTimeout: testTimeout, IdleTimeout: testTimeout, MaxBodyBytes: 1 << 20, TCPUserTimeout: timeout})
+	defer pool.CloseIdle()
+	response, err := pool.Do(t.Context(), listener.Addr().String(), &Request{
+		Method: http.MethodPost, Target: "/", Host: "shop", Header: http.Header{},
+		Stream: io.LimitReader(zeros{}, length), Length: length,
+	})
+	is.NoErr(err)
+	is.Equal(response.Status, http.StatusOK)
+}
+
+// zeros is an endless stream of zero bytes.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
