--- a/core/admission/coldstart.go
+++ b/core/admission/coldstart.go
@@ -68,21 +68,12 @@
 	return !start.Before(w.QueueDeadline) || g.endsLate(start, w)
 }
 
-// coldPosition returns the position at which new work would be queued at a cold server,
-// where calls of running requests go before new requests of the same rank.
+// coldPosition returns the position at which new work would be queued at a cold server.
 func (g *Gate) coldPosition(work *Work) int {
 	if !g.cold.active() {
 		return 0
 	}
-	position := g.queue.ahead(work.Rank) + 1
-	if work.Call {
-		for other := g.queue.head[work.Rank.list()]; other != nil; other = other.next {
-			if !other.Call {
-				position--
-			}
-		}
-	}
-	return position
+	return g.queue.ahead(work.Rank) + 1
 }
 
 // refuseDisplaced refuses the queued calls that a cold server can't admit in time behind
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -6,10 +6,10 @@
 // so its outcome is not_run.
 //
 // The queue is bounded in length and in time. Calls are served by class (order, lookup,
-// internal) and in order of arrival within a class; every eighth slot goes to the call
-// with the earliest queue deadline, regardless of class. At a cold server there are far
-// fewer slots than calls, so the order is strict, and calls of running requests precede
-// others of their class. A call is refused on arrival if
+// internal) or rank and in order of arrival within it. Calls made by running requests rank
+// before new requests of the same priority (see CallRankOf). Every eighth slot goes to the call
+// with the earliest queue deadline, regardless of rank; at a cold server, where there are far
+// fewer slots than calls, the order is strict. A call is refused on arrival if
 // the calls ahead of it, at the measured service time, would delay it past its queue
 // deadline. A queued call must also leave enough time before its deadline for the
 // measured service time and its deviation, because a late response is wasted work.
@@ -134,9 +134,7 @@
 
 // Work is a call that waits for a slot.
 type Work struct {
-	Rank Rank
-	// Call is set for a call of a running request.
-	Call          bool
+	Rank          Rank
 	Deadline      id.Instant
 	QueueDeadline id.Instant
 }
@@ -378,7 +376,7 @@
 func (g *Gate) next() *waiter {
 	switch best := g.queue.oldestOfBestRank(); {
 	case g.cold.active():
-		return best.oldestCall()
+		return best
 	case g.grants%fairnessInterval == fairnessInterval-1:
 		return g.queue.earliestDeadline()
 	default:
--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -51,7 +51,6 @@
 	ServerLimited                   // server_limited
 	ServerCold                      // server_cold
 	Evacuated                       // evacuated
-	CallsRefused                    // calls_refused
 	MemoryFull                      // memory_full
 	reasonCount                     // end
 )
--- a/io/http1/server_limits_test.go
+++ b/io/http1/server_limits_test.go
@@ -43,6 +43,7 @@
 		then              func(conn net.Conn)
 	}{
 		{"half a header", "GET / HTTP/1.1\r\nHost: a\r\n", "HTTP/1.1 408", nil},
+		{"half a line", "GET / HTTP/1.1\r\nHost: a\r\nX-Half", "HTTP/1.1 408", nil},
 		{"slow header", "GET / HTTP/1.1\r\nHost: a\r\nX: ", "HTTP/1.1 408", sendSlowly},
 		{"no body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n", "HTTP/1.1 408", nil},
 		{"half a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab", "HTTP/1.1 408", nil},
@@ -248,9 +249,11 @@
 // that sends the body on still reads it. The connection serves the next request.
 func TestEarlyResponseToLongBody(t *testing.T) {
 	is := is.New(t)
-	const length = maxBufferedBody + 10
+	const length = MaxBufferedBody + 10
 	reads := make(chan error, 1)
-	_, address := serveWith(t, ServerOptions{Limits: strictLimits, Handler: func(_ context.Context, r *http.Request) *Response {
+	limits := strictLimits()
+	limits.BodyBytes = length
+	_, address := serveWith(t, ServerOptions{Limits: func() Limits { return limits }, Handler: func(_ context.Context, r *http.Request) *Response {
 		if r.Method == http.MethodPost {
 			body := r.Body
 			begun := make(chan struct{})
