--- a/cmd/marjoramsaddle-sidecar/stop_fleet_test.go
+++ b/cmd/marjoramsaddle-sidecar/stop_fleet_test.go
@@ -87,6 +87,11 @@
 func (p *play) run(program string) string {
 	p.t.Helper()
 	p.store, p.ran, p.tallies = platformtest.NewStore(), map[string]bool{}, map[string]*tally{}
+	for n, g := range p.groups {
+		// Before the first request, since requests of other groups count theirs meanwhile.
+		g.name = g.kind + strconv.Itoa(n)
+		p.tallies[g.name] = &tally{}
+	}
 	defer p.store.Close()
 	defer p.close()
 	p.startHosts(program)
@@ -95,9 +100,7 @@
 	p.warmUp(ctx)
 	p.stoppedAt = time.Now().Add(parentLead)
 	var senders, stops sync.WaitGroup
-	for n, g := range p.groups {
-		g.name = g.kind + strconv.Itoa(n)
-		p.tallies[g.name] = &tally{}
+	for _, g := range p.groups {
 		for i := range g.count {
 			senders.Go(func() { p.send(ctx, g, i) })
 		}
