--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -87,6 +87,7 @@
 	{name: "server limits its requests", reach: noHost, planned: true, scope: serverScope, minDuration: minLimitDuration, apply: limitRequests},
 	{name: "server limits its requests", reach: noHost, planned: true, scope: serverScope, minDuration: minLimitDuration, apply: limitRequests},
 	{name: "entry lapses", reach: noHost, scope: serverScope, apply: lapseEntry},
+	{name: "domain evacuated", reach: noHost, planned: true, scope: serverScope, minDuration: minEvacuationDuration, apply: evacuate},
 	{name: "version", reach: noHost, planned: true, scope: serverScope, apply: func(c *faultInjector, _ *host) func() { c.w.publish(); return noCleanup }},
 	{name: "versions", reach: noHost, planned: true, scope: serverScope, apply: publishSeries},
 }
--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -16,7 +16,9 @@
 	limitKnownAt, leavingKnownAt time.Time
 	// drainingSince is when the backend server was registered as draining, or zero.
 	drainingSince time.Time
-	at            time.Time
+	// evacuatedSince is when the backend server's failure domain was evacuated, or zero.
+	evacuatedSince time.Time
+	at             time.Time
 	// ended is when the backend server ended its work, or zero.
 	ended time.Time
 	// rejected is set if the backend server reported that the request did not run.
@@ -188,6 +190,9 @@
 			if known[id] != nil && known[id].undisturbed && !one.drainingSince.IsZero() && one.at.Sub(one.drainingSince) > drainDeadline {
 				report.Broken = append(report.Broken, fmt.Sprintf("sent to a leaving backend server after %v: %s", one.at.Sub(one.drainingSince), id))
 			}
+			if known[id] != nil && known[id].undisturbed && !one.evacuatedSince.IsZero() && one.at.Sub(one.evacuatedSince) > evacuationDeadline {
+				report.Broken = append(report.Broken, fmt.Sprintf("sent into an evacuated failure domain after %v: %s", one.at.Sub(one.evacuatedSince), id))
+			}
 		}
 	}
 	report.Broken = append(report.Broken, b.checkLimits()...)
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -9,6 +9,7 @@
 //     has sent it, and break off no work in progress.
 //   - Draining backend servers receive no requests, whether the store or their own
 //     responses say so.
+//   - The backend servers of evacuated failure domains receive no requests.
 //   - Backend servers receive no more requests than the limit that they announce.
 //   - Versions take effect in time at each host in touch, and never go back.
 //   - Requests are served again after the last fault.
@@ -17,10 +18,10 @@
 // directions), silence or reset connections, or drop the beacons between a failure domain
 // and the others. Signals pause, kill and stop processes.
 // The store refuses requests and loses its history. Backend servers reject requests,
-// lose responses, announce limits and drain. Versions are published singly and in
-// series, and daemons are stopped singly and one after the other. Faults overlap. Half
-// of the clients keep their connections until the daemon closes them. The seed
-// determines everything except the timing of the machine.
+// lose responses, announce limits and drain. Failure domains are evacuated. Versions are
+// published singly and in series, and daemons are stopped singly and one after the other.
+// Faults overlap. Half of the clients keep their connections until the daemon closes them.
+// The seed determines everything except the timing of the machine.
 //
 // A run for versions publishes versions all the time, each of which adds a route, drops
 // another and moves a third. Its faults are those that may delay a version, and clients
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -96,8 +96,9 @@
 	beacons  *datagramRelay
 	recorder *recorder
 
-	partition partition
-	versions  versionLog
+	partition   partition
+	evacuations *evacuations
+	versions    versionLog
 	// relayError is the first error that kept a relay from forwarding a connection.
 	relayError atomic.Pointer[error]
 	// unstable is the time in which the store refuses some hosts or returns no old
@@ -113,7 +114,7 @@
 // newWorld prepares hosts in three failure domains on loopback addresses that depend
 // on the seed. It starts the store, relays and backend servers, but no daemons.
 func newWorld(options *Options) (*world, error) {
-	w := &world{program: options.Program, store: platformtest.NewStore(), recorder: newRecorder(), idleRoutes: options.IdleRoutes}
+	w := &world{program: options.Program, store: platformtest.NewStore(), recorder: newRecorder(), evacuations: newEvacuations(), idleRoutes: options.IdleRoutes}
 	for i := range w.ports {
 		w.ports[i] = firstPort + os.Getpid()%portBlocks*int(portCount) + i
 	}
@@ -199,7 +200,7 @@
 	failureHandler, drainingSince := h.failureHandler, h.drainingSince
 	h.mu.Unlock()
 	id := platformtest.RequestID(r.Header)
-	one := run{service: h.service, server: name, target: r.RequestURI, drainingSince: drainingSince, at: time.Now()}
+	one := run{service: h.service, server: name, target: r.RequestURI, drainingSince: drainingSince, evacuatedSince: w.evacuations.sinceOf(h.domain), at: time.Now()}
 	one.limitKnownAt, one.leavingKnownAt = w.recorder.known.at(hostOfRequest(id), name)
 	if failureHandler != nil && hashID(id)%3 == 0 {
 		one.rejected = isShed(failureHandler, out, r)
