--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -28,7 +28,8 @@
 
 // cases holds the cases by name. Each returns the number of breaks of its rule.
 var cases = map[string]func(f *fleet, trouble bool) (breaks int, err error){
-	"cutoff": playCutoff,
+	"cutoff":   playCutoff,
+	"pipeline": playPipeline,
 }
 
 func main() { os.Exit(run()) }
