Review case 8: large entries of another writer stop all later versions (CONFIG)

Cause: a watch whose response has more than 8 MB is cut off and fails for as long as the store keeps that history, and followers cannot fetch changes of more than 4 MB from the readers at all, nor do they turn to the store.

Change: review/8 with its script. Nothing is fixed.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (breaks int, err error){
 	"cutoff":   playCutoff,
 	"pipeline": playPipeline,
+	"foreign":  playForeign,
 }
 
 func main() { os.Exit(run()) }
