Review case 9: one client's trickle keeps all others out (CONFIG)

Cause: connections that have begun a request yield to nobody from the same address for a second, and the listener waits for room for one new connection at a time, so that those of the client hold up everybody else's.

Nothing is fixed.

--- a/review/_rig2/cutoff.go
+++ b/review/_rig2/cutoff.go
@@ -85,7 +85,7 @@
 	for n := range cutoffRequests {
 		path := []string{"/order/", "/far/"}[n%2]
 		id := fmt.Sprintf("order-%d", n)
-		status, signed, received, err := f.order(client, path, id, body)
+		status, signed, received, err := f.upload(client, path, id, body)
 		mu.Lock()
 		how := "closed"
 		switch {
@@ -105,8 +105,8 @@
 	return broken, nil
 }
 
-// order sends a request with a body on a new connection.
-func (f *fleet) order(h *host, path, id string, body []byte) (status int, signed bool, received []byte, err error) {
+// upload sends an order with a body on a new connection.
+func (f *fleet) upload(h *host, path, id string, body []byte) (status int, signed bool, received []byte, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address(portCaller)+path, bytes.NewReader(body))
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -32,7 +32,7 @@
 	"pipeline": playPipeline,
 	"foreign":  playForeign,
 	"debt":     playDebt,
-	"slash":    playSlash,
+	"trickle":  playTrickle,
 }
 
 func main() { os.Exit(run()) }
