--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -31,7 +31,6 @@
 	"cutoff":   playCutoff,
 	"pipeline": playPipeline,
 	"foreign":  playForeign,
-	"debt":     playDebt,
 	"trickle":  playTrickle,
 }
 
--- a/review/_rig2/trickle.go
+++ b/review/_rig2/trickle.go
@@ -31,6 +31,8 @@
 	// orderTimeout is the timeout of their route, and orderDeadline the time that they wait.
 	orderTimeout  = time.Second
 	orderDeadline = 2500 * time.Millisecond
+	// timeoutSlack is how long after the timeout of the route the rule allows.
+	timeoutSlack = 500 * time.Millisecond
 	// connectTime is the time that clients allow for a new connection.
 	connectTime = time.Second
 )
