--- a/review/_rig2/fleet.go
+++ b/review/_rig2/fleet.go
@@ -34,6 +34,7 @@
 	portControl
 	portReadiness
 	portBackend
+	portStore
 	portCount
 )
 
@@ -60,6 +61,9 @@
 	memoryMB        int
 	linkMbps        float64
 	handler         handler
+	// slowStore is set if what the host reads of the store passes its link, whose rate is
+	// linkMbps.
+	slowStore bool
 }
 
 // host is one host of the fleet.
@@ -67,6 +71,7 @@
 	hostSpec
 	name, ip string
 	backend  *backend
+	link     *hostLink
 	file     string
 
 	mu     sync.Mutex
@@ -95,6 +100,9 @@
 		if h.backend != nil {
 			h.backend.close()
 		}
+		if h.link != nil {
+			h.link.close()
+		}
 	}
 	f.store.Close()
 	_ = os.RemoveAll(f.folder)
@@ -114,6 +122,11 @@
 	if h.backend, err = newBackend(fmt.Sprint("i-", n), h.address(portBackend), spec.handler); err != nil {
 		return nil, err
 	}
+	if spec.slowStore {
+		if h.link, err = newHostLink(h.address(portStore), f.store.Address(), spec.linkMbps); err != nil {
+			return nil, err
+		}
+	}
 	h.file = filepath.Join(f.folder, h.name+".json")
 	return h, f.writeSettings(h)
 }
@@ -133,10 +146,14 @@
 	if memory == 0 {
 		memory = 284
 	}
+	store := f.store.Address()
+	if h.link != nil {
+		store = h.address(portStore)
+	}
 	data, err := render("settings.json", map[string]any{
 		"Name": h.name, "IP": h.ip, "Domain": h.domain, "Service": h.service, "Seeds": seeds, "MemoryMB": memory, "LinkMbps": link,
 		"Inbound": h.address(portHop), "Outbound": h.address(portCaller), "Readiness": h.address(portReadiness), "Control": h.address(portControl),
-		"Backend": h.address(portBackend), "Store": f.store.Address(),
+		"Backend": h.address(portBackend), "Store": store,
 	})
 	if err != nil {
 		return err
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -31,6 +31,7 @@
 	"cutoff":   playCutoff,
 	"pipeline": playPipeline,
 	"foreign":  playForeign,
+	"storm":    playStorm,
 	"trickle":  playTrickle,
 }
 
