http1: a reset that a write receives is not the end of a response

Callers: a backend server responded early to a long upload, 200 without a length, sent a part of its body and reset the connection while the upload was being written. The client got the part as a complete 200, at the own host and through another daemon. Cause: the kernel reports a reset once, to the system call that comes first. When that is the blocked write, the read after it returns io.EOF, which ends a body without a length. Ruled out: comparing with the result of the write in Pool.exchange. The read may see the end before the write has returned, and waiting for a write would block on a peer that has ended its stream in order and reads no more. After: Conn keeps the error with which a write has found the connection ended, and asks the kernel at io.EOF whether the connection is closed in both directions. Only then does it wait for a write in progress, which ends at once. EPIPE does not count: a reset after the end of the peer's stream gives EPIPE, and what came before that end is whole.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -64,6 +65,12 @@
 	changed chan struct{}
 	// done is the channel that Done returns.
 	done chan struct{}
+
+	// writing is held while Write runs.
+	writing sync.Mutex
+	// broken is the error with which the kernel has ended the connection, if a write
+	// received it.
+	broken error
 }
 
 // NewConn wraps the connection and starts reading ahead.
@@ -92,6 +99,9 @@
 	chunk := make([]byte, readSize)
 	for {
 		n, err := c.Conn.Read(chunk)
+		if errors.Is(err, io.EOF) {
+			err = c.endOfStream()
+		}
 		if !c.store(chunk[:n], err) {
 			return
 		}
--- /dev/null
+++ b/sidecar/broken_responses_test.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/platform/platformtest"
+)
+
+const (
+	// longUpload is more than the buffers of the kernel take in of a connection.
+	longUpload = 12 << 20
+	// deliveryTime is how long what a backend server has sent takes to be read.
+	deliveryTime = 50 * time.Millisecond
+)
+
+// startRaw starts two hosts. Orders to /own/ go to the backend server of the first host,
+// those to /far/ to that of the other one.
+func startRaw(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(t, "counter", "depot")
+	configuration := platformtest.Configuration("r1", []string{"counter", "depot"},
+		platformtest.Route("own", "/own/", "unsafe", "counter", clientTimeout, 1),
+		platformtest.Route("far", "/far/", "unsafe", "depot", clientTimeout, 1))
+	platformtest.SetLimits(configuration, 16<<10, 2*longUpload)
+	f.store.Put(platformtest.ConfigurationKey, configuration)
+	for _, h := range f.hosts {
+		f.putServer(h, "ready")
+	}
+	f.start(f.hosts...)
+	for _, h := range f.hosts {
+		f.eventually(func() bool { return f.ready(h) && len(h.listedServers()) == len(f.hosts) })
+	}
+	return f
+}
+
+// setRaw sets the responses of all backend servers.
+func (f *fleet) setRaw(respond func(x *platformtest.RawExchange)) {
+	for _, h := range f.hosts {
+		h.backend.SetRawHandler(respond)
+	}
+}
+
+// Guards against a part of a response without a length that is taken for the whole: the
+// backend server responds early to a long upload, which is still being written when the
+// connection is reset. One that closes the connection in order has sent the whole.
+func TestResetWithinEarlyResponse(t *testing.T) {
+	f := startRaw(t)
+	ends := []struct {
+		name string
+		end  func(x *platformtest.RawExchange)
+		want int
+	}{
+		{"reset", (*platformtest.RawExchange).Reset, http.StatusBadGateway},
+		{"close", func(x *platformtest.RawExchange) {
+			if tcp, ok := x.Conn.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			_, _ = io.Copy(io.Discard, x.Conn)
+		}, http.StatusOK},
+	}
+	for _, end := range ends {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, size := range []int{0, 1, 10_000, 1_200_000} {
+				f.setRaw(func(x *platformtest.RawExchange) {
+					_, _ = io.WriteString(x.Conn, version+" 200 OK\r\n"+x.Fields+"\r\n"+strings.Repeat("b", size))
+					time.Sleep(deliveryTime)
+					end.end(x)
+				})
+				for _, route := range []string{"own", "far"} {
+					name := fmt.Sprint(end.name, " ", version, " ", size, " ", route)
+					t.Run(name, func(t *testing.T) {
+						is := is.New(t)
+						reply, err := platformtest.Call(context.Background(), f.address(f.hosts[0].ip, 0), http.MethodPost, "/"+route+"/", name, clientTimeout, strings.Repeat("u", longUpload))
+						is.NoErr(err)
+						is.Equal(reply.Status, end.want)
+						if end.want == http.StatusOK {
+							is.Equal(len(reply.Body), size)
+						}
+					})
+				}
+			}
+		}
+	}
+}
