http1: a response with a blank in a field's name is no response

Callers: a backend server sent a field whose name held a blank. The client got 200 with the line left out; with "Transfer-Encoding : chunked" it got the chunks with their sizes as the body, with "Content-Length : 2" a body of another length, and a 503 or 421 of that kind became the promise that the request had not run. Cause: net/http accepts blanks in the names of fields and keeps such a field under its literal name, which nothing looks up. Ruled out: removing the blank. RFC 9112, section 5.1, has a proxy remove one before the colon, but a name with a blank within stands for nothing, and another recipient may have read the message in another way. After: the pool checks the names of each header, interim ones too, and of the trailer. The request counts as sent without a response, so nothing is promised about it.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -273,6 +273,9 @@
 		if err != nil {
 			return nil, false, err
 		}
+		if err := CheckFields(response.Trailer); err != nil {
+			return nil, false, err
+		}
 		if !matches {
 			continue
 		}
@@ -294,6 +297,9 @@
 			}
 			return nil, err
 		}
+		if err := CheckResponse(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			c.limitedReader.N = math.MaxInt64
 			return response, nil
--- a/sidecar/broken_responses_test.go
+++ b/sidecar/broken_responses_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/matryer/is"
 
 	"marjoramsaddle/platform/platformtest"
@@ -91,3 +93,51 @@
 		}
 	}
 }
+
+// Guards against malformed responses that reach a client, whole or with a part left out,
+// and against a malformed refusal that is taken for proof that the request has not run.
+//
+// The input of a command is what the backend server sends: lines, each a Go string without
+// quotes, joined by line ends. The line {fields} stands for the fields that identify the
+// response and {not executed} for the one that states that the request has not run. The
+// output is what the client of an order gets from the backend server of its own host and
+// from that of another one.
+func TestMalformedResponses(t *testing.T) {
+	f := startRaw(t)
+	var count int
+	datadriven.RunTest(t, "testdata/malformed_responses.txt", func(t *testing.T, data *datadriven.TestData) string {
+		f.setRaw(func(x *platformtest.RawExchange) {
+			_, _ = io.WriteString(x.Conn, rawResponse(t, data.Input, x))
+		})
+		var replies strings.Builder
+		for _, route := range []string{"own", "far"} {
+			count++
+			reply, err := platformtest.Call(context.Background(), f.address(f.hosts[0].ip, 0), http.MethodPost, "/"+route+"/", fmt.Sprint("order-", count), clientTimeout, "crate")
+			if err != nil {
+				data.Fatalf(t, "%s: %v", route, err)
+			}
+			fmt.Fprintf(&replies, "%s: %d %q\n", route, reply.Status, reply.Body)
+		}
+		return replies.String()
+	})
+}
+
+// rawResponse returns the response that the input of a command describes.
+func rawResponse(t *testing.T, input string, x *platformtest.RawExchange) string {
+	lines := strings.Split(input, "\n")
+	for i, line := range lines {
+		switch line {
+		case "{fields}":
+			lines[i] = "Connection: close\r\n" + strings.TrimSuffix(x.Fields, "\r\n")
+		case "{not executed}":
+			lines[i] = platformtest.NotExecutedField
+		default:
+			text, err := strconv.Unquote(`"` + line + `"`)
+			if err != nil {
+				t.Errorf("line %q: %v", line, err)
+			}
+			lines[i] = text
+		}
+	}
+	return strings.Join(lines, "\r\n")
+}
