http1: a response with an invalid status is no response

Callers: a backend server sent a head with the status 000 or "+99" and a response with 200 after it; the client got the latter. A status of 600 and above reached the client, as did a status line with a control byte. Cause: net/http accepts any three digits and signed numbers, and the pool skipped everything below 200 as an interim response. That is why the status 000 alone was refused before: nothing came after it. RFC 9110, section 15, has statuses from 100 to 599 and calls all others invalid. Ruled out: passing on 600 to 999 as a failure of the server; the RFC asks recipients to treat them as a server error, which 502 is. After: CheckResponse compares the status and looks at the status line.

--- a/io/http1/response_head.go
+++ b/io/http1/response_head.go
@@ -8,12 +8,24 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// The valid status codes (RFC 9110, section 15). net/http accepts 000 to 999 and "+99".
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // ErrMalformedResponse is returned for bytes of a server that are not a response.
 var ErrMalformedResponse = errors.New("http1: malformed response: check the server")
 
 // CheckResponse returns an error that wraps ErrMalformedResponse for a response that
 // net/http has accepted although its head is malformed.
 func CheckResponse(response *http.Response) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status %d", ErrMalformedResponse, response.StatusCode)
+	}
+	if !httpguts.ValidHeaderFieldValue(response.Status) {
+		return fmt.Errorf("%w: status line %q", ErrMalformedResponse, response.Status)
+	}
 	return CheckFields(response.Header)
 }
 
