http1: a change of protocol that nobody asked for is no response

Callers: a backend server sent the status 101 without a request for it, with and without the fields of an upgrade. The client got 101, at the own host and through another daemon, and would read what follows as bytes of another protocol. Cause: the pool took 101 for a final response, as net/http does. Upgrade is a field of one connection and is not forwarded, so no request of a daemon asks for another protocol. Ruled out: skipping it like other interim responses. What follows a 101 is not HTTP any more (RFC 9110, section 15.2.2).

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -300,7 +300,7 @@
 		if err := CheckResponse(response); err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			c.limitedReader.N = math.MaxInt64
 			return response, nil
 		}
--- a/io/http1/response_head.go
+++ b/io/http1/response_head.go
@@ -23,6 +23,10 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %d", ErrMalformedResponse, response.StatusCode)
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		// No request of this system asks for another protocol.
+		return fmt.Errorf("%w: status %d without a request for it", ErrMalformedResponse, response.StatusCode)
+	}
 	if !httpguts.ValidHeaderFieldValue(response.Status) {
 		return fmt.Errorf("%w: status line %q", ErrMalformedResponse, response.Status)
 	}
