http1: an HTTP/1.0 response with an encoding is no response

Callers: a backend server sent an HTTP/1.0 response in chunks, as Transfer-Encoding says. The client got 200 whose body was the chunks with their sizes, or as many bytes of them as Content-Length named. Cause: net/http removes Transfer-Encoding from HTTP/1.0 messages and goes on as if it had not been sent. RFC 9112, section 6.1, has a client treat the framing of such a message as faulty. Ruled out: looking at the parsed header, which shows nothing of it, and parsing heads in the pool, which would have to repeat the framing of bodies. After: the pool keeps the bytes of a head while net/http parses it, and looks for the field there.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -157,7 +157,9 @@
 // clientConn is a connection of a Pool. It carries one request at a time.
 type clientConn struct {
 	conn *Conn
-	// limitedReader limits the bytes that reader reads while it parses response headers.
+	// headReader keeps the heads of responses. limitedReader limits the bytes that reader
+	// reads while it parses them.
+	headReader    *headReader
 	limitedReader *io.LimitedReader
 	reader        *bufio.Reader
 	writer        *bufio.Writer
@@ -289,15 +291,18 @@
 // skips interim ones.
 func (c *clientConn) readHeader(httpRequest *http.Request) (*http.Response, error) {
 	c.limitedReader.N = maxResponseHeader
+	defer c.headReader.trim()
 	for range maxInterimResponses + 1 {
+		c.headReader.start(c.reader)
 		response, err := http.ReadResponse(c.reader, httpRequest)
+		head := c.headReader.end(c.reader)
 		if err != nil {
 			if c.limitedReader.N <= 0 {
 				return nil, ErrResponseHeaderTooLarge
 			}
 			return nil, err
 		}
-		if err := CheckResponse(response); err != nil {
+		if err := errors.Join(checkHead(head, response), CheckResponse(response)); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
@@ -427,9 +432,10 @@
 		p.options.OnDial(address)
 	}
 	conn := newConn(inner, p.options.Account, slot)
-	limitedReader := &io.LimitedReader{R: conn, N: maxResponseHeader}
+	headReader := &headReader{conn: conn}
+	limitedReader := &io.LimitedReader{R: headReader, N: maxResponseHeader}
 	return &clientConn{
-		conn: conn, limitedReader: limitedReader, address: address,
+		conn: conn, headReader: headReader, limitedReader: limitedReader, address: address,
 		reader: bufio.NewReaderSize(limitedReader, bufferSize),
 		writer: bufio.NewWriterSize(conn, bufferSize),
 	}, nil
--- a/io/http1/response_head.go
+++ b/io/http1/response_head.go
@@ -1,8 +1,11 @@
 package http1
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -44,3 +47,56 @@
 	}
 	return nil
 }
+
+// headReader keeps the bytes of a response's head as they arrive, to check in them what
+// net/http drops when it parses them.
+type headReader struct {
+	conn io.Reader
+	// recording is set while a head is read. head then holds the bytes that have been
+	// buffered since its beginning.
+	recording bool
+	head      []byte
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	if r.recording {
+		r.head = append(r.head, p[:n]...)
+	}
+	return n, err
+}
+
+// start begins a head with what is buffered already.
+func (r *headReader) start(buffered *bufio.Reader) {
+	// Peek does not fail for bytes that are buffered.
+	early, _ := buffered.Peek(buffered.Buffered())
+	r.recording, r.head = true, append(r.head[:0], early...)
+}
+
+// end returns the head, which is valid until the next one begins. What is still buffered
+// comes after it.
+func (r *headReader) end(buffered *bufio.Reader) []byte {
+	r.recording = false
+	return r.head[:len(r.head)-buffered.Buffered()]
+}
+
+// trim gives back the memory of a long head.
+func (r *headReader) trim() {
+	if cap(r.head) > 2*bufferSize {
+		r.head = nil
+	}
+}
+
+// checkHead returns an error that wraps ErrMalformedResponse if net/http has overlooked a
+// part of the head of a response: it ignores the encoding of HTTP/1.0 responses, whose
+// framing is then faulty (RFC 9112, section 6.1).
+func checkHead(head []byte, response *http.Response) error {
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if !response.ProtoAtLeast(1, 1) && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return fmt.Errorf("%w: HTTP/1.0 with Transfer-Encoding", ErrMalformedResponse)
+		}
+	}
+	return nil
+}
