http1: a response with a line that begins with a blank is no response

Callers: a backend server sent a field with a blank or a tab before its name. The client got 200 with that line as a part of the value of the field before it, which may be the server's signature. Cause: net/http takes such a line for a folded one and joins it to the value before. Ruled out: keeping folded lines, which are obsolete. RFC 9112, section 5.2, has a gateway answer 502 or replace the fold with blanks, which would pass on a value that the server did not mean.

--- a/io/http1/response_head.go
+++ b/io/http1/response_head.go
@@ -90,9 +90,13 @@
 
 // checkHead returns an error that wraps ErrMalformedResponse if net/http has overlooked a
 // part of the head of a response: it ignores the encoding of HTTP/1.0 responses, whose
-// framing is then faulty (RFC 9112, section 6.1).
+// framing is then faulty (RFC 9112, section 6.1), and joins a folded line to the value
+// before it, which need not be meant.
 func checkHead(head []byte, response *http.Response) error {
 	for line := range bytes.Lines(head) {
+		if line[0] == ' ' || line[0] == '\t' {
+			return fmt.Errorf("%w: folded line %q", ErrMalformedResponse, line)
+		}
 		name, _, _ := bytes.Cut(line, []byte{':'})
 		if !response.ProtoAtLeast(1, 1) && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 			return fmt.Errorf("%w: HTTP/1.0 with Transfer-Encoding", ErrMalformedResponse)
