http1: a response of another major version is no response

Callers: a backend server sent a status line with HTTP/2.0 or HTTP/0.9. The client got the response as if it were one of HTTP/1.1. After: CheckResponse compares the major version: 502. A later minor version, which RFC 9110, section 2.5, has recipients accept, still arrives.

--- a/io/http1/response_head.go
+++ b/io/http1/response_head.go
@@ -20,9 +20,12 @@
 // ErrMalformedResponse is returned for bytes of a server that are not a response.
 var ErrMalformedResponse = errors.New("http1: malformed response: check the server")
 
-// CheckResponse returns an error that wraps ErrMalformedResponse for a response that
-// net/http has accepted although its head is malformed.
+// CheckResponse returns an error that wraps ErrMalformedResponse for a response of HTTP/1
+// that net/http has accepted although its head is malformed.
 func CheckResponse(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %s", ErrMalformedResponse, response.Proto)
+	}
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return fmt.Errorf("%w: status %d", ErrMalformedResponse, response.StatusCode)
 	}
