http1: the fuzz test of responses checks what is accepted

Cause: it only looked for responses to other requests and for crashes. Ruled out: comparing with net/http, which is what parses them. Before: nothing checked the status and fields of an accepted response.

--- a/io/http1/fuzz_test.go
+++ b/io/http1/fuzz_test.go
@@ -7,20 +7,26 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // fuzzTimeout is the header and idle timeout of the fuzzed server.
 const fuzzTimeout = 50 * time.Millisecond
 
 // Guards against malformed responses that crash the process, block past the
-// deadline, or are accepted although they belong to another request.
+// deadline, or are accepted although they belong to another request or cannot be passed on.
 func FuzzAnswer(f *testing.F) {
 	for _, seed := range []string{
 		responseText("1", "body"), responseText("0", "late") + responseText("1", "body"), "HTTP/1.1 100 Continue\r\n\r\n" + responseText("1", ""),
 		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n\r\n" + responseText("1", "body"), "HTTP/1.1 101 Other\r\nId: 1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nId: 1\r\n X: y\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -52,9 +58,21 @@
 		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 		defer cancel()
 		got, err := pool.Do(ctx, listener.Addr().String(), getRequest("1"))
-		if err == nil && got.Header.Get("Id") != "" && got.Header.Get("Id") != "1" {
+		if err != nil {
+			return
+		}
+		if got.Header.Get("Id") != "" && got.Header.Get("Id") != "1" {
 			t.Fatal("accepted the response to another request")
 		}
+		if got.Status < http.StatusOK || got.Status > maxStatus {
+			t.Fatalf("accepted the status %d", got.Status)
+		}
+		for name, values := range got.Header {
+			invalid := func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) }
+			if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, invalid) {
+				t.Fatalf("accepted the field %q: %q", name, values)
+			}
+		}
 	})
 }
 
