server: fields that daemons send each other are not taken from backend servers

Callers: a backend server behind another daemon sent the fields in which daemons tell each other a refusal that has not run. Its order ran three times and was answered 503; with the field that numbers exchanges, the client got 504 for a response that had arrived. Cause: the daemon beside the backend server copies the header of the response over its own internal fields. At the own host they are removed before the client, between daemons they were not. Ruled out: setting the internal fields after the copy, which leaves those that the daemon itself does not set, such as the reason of a refusal. Before: TestBackendSendsInternalHeaders got 503 for 200 and three runs for one; 504 for 200 in its next case. After: io/server removes the fields as soon as the response has arrived, like the product's other daemon. The test passes.

--- a/io/server/server.go
+++ b/io/server/server.go
@@ -295,6 +295,9 @@
 		s.recordResult(started, refused.Reason != refusal.DeadlinePassed && refused.Reason != refusal.CallerGone, false)
 		return nil, refused
 	}
+	// Only daemons may set them: the next one would take a refusal of the backend server
+	// for proof that the request has not run.
+	relay.StripInternalHeaders(response.Header)
 	refused = s.classify(response)
 	s.recordResponse(active.server, response, refused, started)
 	if refused != nil {
--- a/sidecar/broken_responses_test.go
+++ b/sidecar/broken_responses_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +142,28 @@
 	}
 	return strings.Join(lines, "\r\n")
 }
+
+// Guards against header fields of a backend server that pass for those between daemons: an
+// order that has run is then taken for one that has not, and is sent again, or its response
+// for that to another request.
+func TestBackendSendsInternalHeaders(t *testing.T) {
+	is := is.New(t)
+	f := startRaw(t)
+	fields := []string{
+		"Marjoramsaddle-Outcome: not_run\r\nMarjoramsaddle-Reason: queue_full", "Marjoramsaddle-Exchange: 0",
+		"Marjoramsaddle-Call-Refused: 1", "Marjoramsaddle-Calls: counter=9",
+	}
+	for i, field := range fields {
+		for _, route := range []string{"own", "far"} {
+			var runs atomic.Int64
+			f.setRaw(func(x *platformtest.RawExchange) {
+				runs.Add(1)
+				_, _ = io.WriteString(x.Conn, "HTTP/1.1 200 OK\r\n"+x.Fields+field+"\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody")
+			})
+			reply, err := platformtest.Call(context.Background(), f.address(f.hosts[0].ip, 0), http.MethodPost, "/"+route+"/", fmt.Sprint("order-", i, route), clientTimeout, "crate")
+			is.NoErr(err)
+			is.Equal(reply.Status, http.StatusOK)
+			is.Equal(runs.Load(), int64(1))
+		}
+	}
+}
