ingress: a promise that an order has not run needs the server's statement

Callers: a backend server answered an order with 503, 429 or 408 and without the header that states that it has not run. The client got the status, which promises just that, and may send an order again that has run. Cause: only responses with the header, and 421, are refusals; the others were passed on unchanged. Ruled out: refusing them in io/server for all requests. What may run again needs no promise, and its clients get the server's response as it is. After: such a response to a request that may run once at most is an attempt with an unknown outcome: 502.

--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -138,6 +138,9 @@
 		OfRequest: j.parent != nil, Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
 	}
 	response, refused := h.send(ctx, j, &choice.Server, call)
+	if refused == nil && !j.route.Idempotent && promisesNotRun(response.Status) {
+		response, refused = nil, refusal.Wrap(refusal.BackendBroken, refusal.Unknown, errUnprovenPromise)
+	}
 	h.recordCalls(j, response, refused)
 	if refused == nil || mayHaveReachedBackend(refused) {
 		j.record.Arrivals++
@@ -151,6 +154,20 @@
 	return response, refused
 }
 
+var errUnprovenPromise = errors.New("the status promises that the request has not run, but the backend server does not state it")
+
+// promisesNotRun reports whether clients take the status for a promise that the request has
+// not run, and send it again. A backend server that means it says so in a header as well,
+// and its response is then a refusal.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordColdRefusal records that a cold backend server has refused the request.
 func (h *Handler) recordColdRefusal(j *job, call relay.Call, refused *refusal.Error) {
 	now := h.options.Now()
--- a/io/ingress/ingress_test.go
+++ b/io/ingress/ingress_test.go
@@ -211,6 +211,8 @@
 		{"lookup failed once", "/stock/", []outcome{failed, served}, 200, 2},
 		{"lookup failed, then lost", "/stock/", []outcome{failed, lost}, 500, 2},
 		{"order failed", "/orders/", []outcome{failed, served}, 500, 1},
+		{"order with a promise of the server", "/orders/", []outcome{{status: 503}, served}, 502, 1},
+		{"lookup with a promise of the server", "/stock/", []outcome{{status: 429}, served}, 429, 1},
 		{"call refused", "/stock/", []outcome{{status: statusCallRefused}, served}, 500, 1},
 		{"late", "/stock/", []outcome{refused(refusal.DeadlinePassed, refusal.Unknown), served}, 504, 1},
 		{"late, not run", "/stock/", []outcome{refused(refusal.DeadlinePassed, refusal.NotRun), served}, 503, 1},
