http1: the names of fields are checked in the bytes of the head

Cause: folded lines and names with blanks were checked at two places, one in the bytes of the head and one in what net/http had made of it. Both are lines without a valid name before the colon. Ruled out: leaving the check of parsed names for other clients of HTTP/1; they need the bytes as well, for the encoding of HTTP/1.0 responses. Before: the cases of TestMalformedResponses pass. After: they pass unchanged, with one check less.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -275,7 +275,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if err := CheckFields(response.Trailer); err != nil {
+		if err := CheckTrailer(response); err != nil {
 			return nil, false, err
 		}
 		if !matches {
@@ -302,7 +302,7 @@
 			}
 			return nil, err
 		}
-		if err := errors.Join(checkHead(head, response), CheckResponse(response)); err != nil {
+		if err := checkResponse(head, response); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/io/http1/response_head.go
+++ b/io/http1/response_head.go
@@ -20,39 +20,60 @@
 // ErrMalformedResponse is returned for bytes of a server that are not a response.
 var ErrMalformedResponse = errors.New("http1: malformed response: check the server")
 
-// CheckResponse returns an error that wraps ErrMalformedResponse for a response of HTTP/1
-// that net/http has accepted although its head is malformed.
-func CheckResponse(response *http.Response) error {
-	if response.ProtoMajor != 1 {
+// checkResponse returns an error that wraps ErrMalformedResponse for a response of HTTP/1
+// that net/http has accepted although its head, of which these are the bytes, is malformed.
+func checkResponse(head []byte, response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
 		return fmt.Errorf("%w: version %s", ErrMalformedResponse, response.Proto)
-	}
-	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return fmt.Errorf("%w: status %d", ErrMalformedResponse, response.StatusCode)
-	}
-	if response.StatusCode == http.StatusSwitchingProtocols {
+	case response.StatusCode == http.StatusSwitchingProtocols:
 		// No request of this system asks for another protocol.
 		return fmt.Errorf("%w: status %d without a request for it", ErrMalformedResponse, response.StatusCode)
-	}
-	if !httpguts.ValidHeaderFieldValue(response.Status) {
+	case !httpguts.ValidHeaderFieldValue(response.Status):
 		return fmt.Errorf("%w: status line %q", ErrMalformedResponse, response.Status)
 	}
-	return CheckFields(response.Header)
+	return checkLines(head, response)
 }
 
-// CheckFields returns an error that wraps ErrMalformedResponse if the header or trailer of
-// a response has a field whose name is malformed. net/http accepts blanks in names, and
-// with "Transfer-Encoding : chunked" leaves the chunks in the body.
-func CheckFields(fields http.Header) error {
-	for name := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
+// checkLines does the work of checkResponse for the lines after the status line. net/http
+// accepts blanks in names: it leaves the chunks in the body with "Transfer-Encoding :
+// chunked", and joins a line that begins with a blank to the value before it. It ignores
+// the encoding of HTTP/1.0 responses, whose framing is then faulty (RFC 9112, section 6.1).
+func checkLines(head []byte, response *http.Response) error {
+	_, lines, _ := bytes.Cut(head, []byte{'\n'})
+	for line := range bytes.Lines(lines) {
+		if isBlank(line) {
+			return nil
+		}
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if !httpguts.ValidHeaderFieldName(string(name)) {
 			return fmt.Errorf("%w: field name %q", ErrMalformedResponse, name)
 		}
+		if !response.ProtoAtLeast(1, 1) && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return fmt.Errorf("%w: HTTP/1.0 with Transfer-Encoding", ErrMalformedResponse)
+		}
 	}
 	return nil
 }
 
-// headReader keeps the bytes of a response's head as they arrive, to check in them what
-// net/http drops when it parses them.
+// isBlank reports whether the line, with its end, is the one that ends a head.
+func isBlank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+
+// CheckTrailer returns an error that wraps ErrMalformedResponse if the trailer of a response
+// has a field whose name is malformed. Call it when the body has been read.
+func CheckTrailer(response *http.Response) error {
+	for name := range response.Trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q in the trailer", ErrMalformedResponse, name)
+		}
+	}
+	return nil
+}
+
+// headReader keeps the bytes of a response's head as they arrive, because net/http drops
+// some of them when it parses the head.
 type headReader struct {
 	conn io.Reader
 	// recording is set while a head is read. head then holds the bytes that have been
@@ -90,20 +111,3 @@
 		r.head = nil
 	}
 }
-
-// checkHead returns an error that wraps ErrMalformedResponse if net/http has overlooked a
-// part of the head of a response: it ignores the encoding of HTTP/1.0 responses, whose
-// framing is then faulty (RFC 9112, section 6.1), and joins a folded line to the value
-// before it, which need not be meant.
-func checkHead(head []byte, response *http.Response) error {
-	for line := range bytes.Lines(head) {
-		if line[0] == ' ' || line[0] == '\t' {
-			return fmt.Errorf("%w: folded line %q", ErrMalformedResponse, line)
-		}
-		name, _, _ := bytes.Cut(line, []byte{':'})
-		if !response.ProtoAtLeast(1, 1) && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-			return fmt.Errorf("%w: HTTP/1.0 with Transfer-Encoding", ErrMalformedResponse)
-		}
-	}
-	return nil
-}
