backend: the product's own daemon refuses malformed responses

Callers: a backend server beside marjoramsaddled sent a malformed head. The caller got the response with the line left out or joined to another field, 101, 600, or a connection that was closed for the status 000; HTTP/1.0 in chunks with a length arrived as that many bytes of the chunks; a malformed 503 counted as a refusal for lack of capacity. Cause: http.Transport is as lenient as http.ReadResponse, which the pool of the other daemon uses. Ruled out: http1.Pool in this daemon, which reads bodies whole; here they are passed on while they arrive. Before: 10 of 12 new cases of TestInvalidResponsesAreRefused failed. HTTP/1.0 without a length and control bytes in names were refused already and stay. After: http1.Transport wraps http.Transport, keeps the bytes of heads and checks them like the pool. It counts neither attempts nor connections itself. All cases pass.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -24,6 +24,7 @@
 	"marjoramsaddle/core/refusal"
 	"marjoramsaddle/core/retry"
 	"marjoramsaddle/io/hop"
+	"marjoramsaddle/io/http1"
 )
 
 // dialTimeout is the time in which a connection to the backend server, which is on
@@ -49,7 +50,7 @@
 // Server admits calls and sends them to the backend server.
 type Server struct {
 	options   Options
-	transport *http.Transport
+	transport *http1.Transport
 	dialled   atomic.Int64
 	leaving   atomic.Bool
 }
@@ -58,7 +59,7 @@
 func New(options Options) *Server {
 	s := &Server{options: options}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	s.transport = &http.Transport{
+	s.transport = http1.NewTransport(&http.Transport{
 		DisableCompression:     true,
 		MaxConnsPerHost:        options.Connections,
 		MaxIdleConnsPerHost:    options.Connections,
@@ -72,7 +73,7 @@
 			}
 			return conn, err
 		},
-	}
+	})
 	return s
 }
 
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -107,8 +107,8 @@
 }
 
 // Guards against the outcome NotRun for a request that was sent, and against
-// accepting close-delimited responses, responses of other calls and headers of
-// unlimited size.
+// accepting close-delimited or malformed responses, responses of other calls and headers
+// of unlimited size.
 func TestInvalidResponsesAreRefused(t *testing.T) {
 	cases := []struct {
 		name, answer string
@@ -119,6 +119,18 @@
 		{"open end", "HTTP/1.1 200 OK\r\n\r\nok", refusal.BackendBroken},
 		{"other call", "HTTP/1.1 200 OK\r\nMarjoramsaddle-Call-Id: c2\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
 		{"shed", "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", refusal.BackendShed},
+		{"HTTP/1.0 with open end", "HTTP/1.0 200 OK\r\n\r\nok", refusal.BackendBroken},
+		{"blank in name", "HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"blank before name", "HTTP/1.1 200 OK\r\nX-Good: v\r\n X-Bad: v\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"blank before colon of encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n", refusal.BackendBroken},
+		{"blank in name of interim response", "HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n" + completeResponse, refusal.BackendBroken},
+		{"encoding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n", refusal.BackendBroken},
+		{"control byte in name", "HTTP/1.1 200 OK\r\nX-\x01Bad: v\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"status 600", "HTTP/1.1 600 Custom\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\nok", refusal.BackendBroken},
+		{"other version", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
+		{"malformed shed", "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nX Bad: v\r\nContent-Length: 2\r\n\r\nno", refusal.BackendBroken},
 		{"long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*hop.MaxHeaderBytes) + "\r\n\r\n", refusal.BackendBroken},
 	}
 	for _, c := range cases {
