hop: a malformed trailer ends a relayed response early

Callers: a backend server beside marjoramsaddled sent a trailer with a blank in a field's name. The caller got the response as whole, without that line. Cause: net/http accepts such trailers, and Relay sends only those that were announced. Before: "blank in trailer" of TestTruncatedResponsesAreAborted failed over HTTP/2 and HTTP/3. After: Relay checks the trailer once the body is copied, and aborts the response, as it does for a body that is cut off. The heads of responses between these daemons need no check of their own: both libraries refuse malformed fields, and the daemon beside the server has checked the status.

--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -109,7 +109,8 @@
 }
 
 // Guards against a truncated response that looks complete, for each hop transport
-// and each way in which an upstream body can end early.
+// and each way in which an upstream body can end early or be followed by a malformed
+// trailer.
 func TestTruncatedResponsesAreAborted(t *testing.T) {
 	whole := strings.Repeat("x", 100_000)
 	upstreams := []struct {
@@ -122,6 +123,8 @@
 		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 100001\r\n\r\n" + whole, false},
 		{"chunked without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + whole + "\r\n", false},
 		{"chunk cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + whole[:70_000], false},
+		{"whole with trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + whole + "\r\n0\r\nX-Sum: 1\r\n\r\n", true},
+		{"blank in trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + whole + "\r\n0\r\nX Sum: 1\r\n\r\n", false},
 		{"broken chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n" + whole + "zz\r\n", false},
 	}
 	issuer := newAuthority(t)
--- a/io/hop/relay.go
+++ b/io/hop/relay.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"marjoramsaddle/io/http1"
 )
 
 // copyBufferBytes is the size of a copy buffer: the memory that one response in
@@ -21,15 +23,16 @@
 var ErrCloseDelimited = errors.New("hop: response without a length: send Content-Length or use chunked encoding")
 
 // Relay writes the response and its body to w and returns the number of body bytes.
-// If the body can't be copied completely, it panics with http.ErrAbortHandler, so
-// that the receiver sees an aborted connection and not a complete response.
+// If the body can't be copied completely or its trailer is malformed, it panics with
+// http.ErrAbortHandler, so that the receiver sees an aborted connection and not a complete
+// response.
 func Relay(w http.ResponseWriter, response *http.Response) int64 {
 	defer func() { _ = response.Body.Close() }()
 	CopyEndToEndHeaders(w.Header(), response.Header)
 	announceTrailers(w.Header(), response.Trailer)
 	w.WriteHeader(response.StatusCode)
 	count, err := copyBody(w, response)
-	if err != nil {
+	if errors.Join(err, http1.CheckTrailer(response)) != nil {
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
