backend: a health check without a whole response finds the server unreachable

Callers: a backend server beside marjoramsaddled answered its health check with a malformed head or a body that was cut off, and kept getting calls. Cause: the probe used http.Client as it is and dropped the error of the body. Ruled out: reading a long body to its end. Only its beginning is looked at, and the check is bounded by its timeout. Before: 3 of the 6 cases of TestInvalidHealthIsUnreachable reported ready. After: the probe uses http1.Transport and reports an unreachable server.

--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -203,3 +203,32 @@
 	is.Equal(refused.Outcome, refusal.NotRun)
 	is.Equal(unreachable, 1)
 }
+
+// Guards against a health check whose response is malformed or cut off and that counts as
+// the state of the backend server.
+func TestInvalidHealthIsUnreachable(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		want         backend.Health
+	}{
+		{"ready", completeResponse, backend.Health{Ready: true}},
+		{"draining", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\ndraining", backend.Health{Ready: true, Draining: true}},
+		{"longer than what is read", "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("x", 9000), backend.Health{Ready: true}},
+		{"blank in name", "HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\nok", backend.Health{}},
+		{"status 000", "HTTP/1.1 000 OK\r\nMarjoramsaddle-Draining: true\r\nContent-Length: 2\r\n\r\nok", backend.Health{}},
+		{"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nok", backend.Health{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var requests atomic.Int64
+			ctx, cancel := context.WithCancel(context.Background())
+			var reported backend.Health
+			backend.Probe(ctx, scriptedServer(t, &requests, c.answer), "/health", func(health backend.Health) {
+				reported = health
+				cancel()
+			})
+			is.Equal(reported, c.want)
+		})
+	}
+}
--- a/io/backend/probe.go
+++ b/io/backend/probe.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"marjoramsaddle/io/http1"
 )
 
 // probeInterval is the time between two health checks and the timeout of each. A
@@ -26,7 +28,9 @@
 // Probe queries the health endpoint each second until the context ends, and passes
 // each result to report.
 func Probe(ctx context.Context, address, path string, report func(Health)) {
-	client := &http.Client{Timeout: probeInterval}
+	transport := http1.NewTransport(&http.Transport{DisableCompression: true})
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: probeInterval}
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
@@ -49,7 +53,10 @@
 		return Health{}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxHealthBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxHealthBytes))
+	if err != nil {
+		return Health{}
+	}
 	draining := response.Header.Get("Marjoramsaddle-Draining") == "true" || strings.Contains(string(body), "draining")
 	return Health{Ready: response.StatusCode == http.StatusOK, Draining: draining}
 }
