platform: responses of the store are whole or none

Callers: none yet. A store, or what listens at its address, that sends a malformed head was believed: its listing, "410 Gone", which makes a daemon list everything again, and "404", which says that a key does not exist. A body longer than the limit was cut there and used if it parsed, as JSON does that is followed by blanks. Ruled out: a check in each client. The statuses 101 and 000 were errors already and stay.

--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -131,3 +132,16 @@
 	c.recording = false
 	return c.head
 }
+
+// ReadBody reads the whole body of a response of a Transport. It returns an error, of which
+// ErrResponseBodyTooLarge is one, if the body is longer than maxBytes or ends early.
+func ReadBody(response *http.Response, maxBytes int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(body)) > maxBytes:
+		return nil, ErrResponseBodyTooLarge
+	}
+	return body, CheckTrailer(response)
+}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -12,7 +12,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -20,6 +19,7 @@
 	"time"
 
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/io/http1"
 )
 
 // The limits of one read.
@@ -68,7 +68,7 @@
 
 // NewClient returns a client of the platform at the base URL.
 func NewClient(baseURL string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}
+	transport := http1.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true})
 	return &Client{baseURL: strings.TrimSuffix(baseURL, "/"), http: &http.Client{Transport: transport}}
 }
 
@@ -126,7 +126,7 @@
 		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := http1.ReadBody(response, maxResponseBytes)
 	if err != nil {
 		return nil, 0, fmt.Errorf("platform: %w", err)
 	}
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,3 +72,39 @@
 	_, err = client.Read(ctx, manifest.Key, platform.After(id.Version(index)))
 	is.True(errors.Is(err, context.DeadlineExceeded))
 }
+
+// Guards against responses that are malformed, or longer than what is read of them, and
+// are returned as values.
+func TestInvalidResponsesAreErrors(t *testing.T) {
+	entry := `[{"Key":"k","Value":"eA==","ModifyIndex":3}]`
+	tests := []struct {
+		name, head, body string
+		valid            bool
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\n", entry, true},
+		{"blank in name", "HTTP/1.1 200 OK\r\nX Bad: v\r\n", entry, false},
+		{"status 000", "HTTP/1.1 000 OK\r\n", entry, false},
+		{"malformed absence", "HTTP/1.1 404 Not Found\r\nX-Consul-Index: 7\r\nX Bad: v\r\n", "", false},
+		{"more than is read", "HTTP/1.1 200 OK\r\n", entry + strings.Repeat(" ", 2<<20), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", test.head, len(test.body), test.body)
+			}()
+			_, err = platform.NewClient("http://"+listener.Addr().String()).Read(context.Background(), "k")
+			is.Equal(err == nil, test.valid)
+			is.True(!errors.Is(err, platform.ErrKeyNotFound))
+		})
+	}
+}
