http1: a body without end asks for no memory beyond the largest one

Callers: a backend server that sent bodies without end kept all its slots busy until the deadlines of their requests, and with them the memory for responses that other requests of the host wait for. Cause: the buffer of a body of unknown length doubles. At the largest body, 4 MB, it asked for 8 MB to read one more byte; twelve such bodies do not fit the account of a host with 184 MB (46 MB), so that each waited for memory. Ruled out: a smaller limit for such bodies, which would refuse valid ones.

--- a/cmd/marjoramsaddle-sidecar/hostile_clients_test.go
+++ b/cmd/marjoramsaddle-sidecar/hostile_clients_test.go
@@ -18,6 +18,8 @@
 	// during is the route of the ordinary request during the load. It leads to a backend
 	// server that has no whole requests of the clients to run.
 	during string
+	// end is called when the clients have left. It may be nil.
+	end func()
 }
 
 // processLimits are the limits that the settings of a daemon state.
--- a/cmd/marjoramsaddle-sidecar/hostile_fleet_test.go
+++ b/cmd/marjoramsaddle-sidecar/hostile_fleet_test.go
@@ -22,10 +22,11 @@
 	// remoteRoute to that of the other host.
 	localRoute  = "local"
 	remoteRoute = "remote"
-	// firstHostileNetwork and firstLargestBodyNetwork keep the addresses of the tests apart
-	// from each other and from those of the stops.
+	// firstHostileNetwork and the others keep the addresses of the tests apart from each
+	// other and from those of the stops.
 	firstHostileNetwork     = 100
 	firstLargestBodyNetwork = 150
+	firstEndlessNetwork     = 160
 	// hostileSlots is the number of slots of each backend server, that of a deployment.
 	hostileSlots = 12
 	// loadTime is the time after which an ordinary request is sent to the daemon. The
@@ -155,6 +156,9 @@
 	}
 	cancel()
 	clients.Wait()
+	if c.end != nil {
+		c.end()
+	}
 	for _, route := range []string{localRoute, remoteRoute} {
 		f.checkOrdinary(route, "after the load")
 	}
--- a/io/http1/pool_robustness_test.go
+++ b/io/http1/pool_robustness_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"marjoramsaddle/core/holdings"
 )
 
 // startPeer listens and calls handle for each connection once its first request
@@ -361,3 +363,22 @@
 	clear(p)
 	return len(p), nil
 }
+
+// Guards against a body without end that waits for memory beyond the largest body, which
+// may never be free: it would hold its slot and what it has until the deadline, and with a
+// few others keep the memory from all other requests.
+func TestEndlessBodyNeedsNoFurtherMemory(t *testing.T) {
+	is := is.New(t)
+	address := startPeer(t, func(conn net.Conn, _ *bufio.Reader) {
+		writeEndlessly(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x")
+	})
+	pool := newPool(t, nil)
+	account := holdings.New(pool.options.MaxBodyBytes * 3 / 2)
+	pool.options.Account, pool.options.Purpose = account, holdings.Response
+	ctx, owner := WithOwner(context.Background())
+	defer owner.Close()
+	ctx, cancel := context.WithTimeout(ctx, 2*testTimeout)
+	defer cancel()
+	_, err := pool.Do(ctx, address, getRequest("1"))
+	is.True(errors.Is(err, ErrResponseBodyTooLarge))
+}
