--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -131,6 +131,7 @@
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\nok", refusal.BackendBroken},
 		{"other version", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok", refusal.BackendBroken},
 		{"malformed shed", "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nX Bad: v\r\nContent-Length: 2\r\n\r\nno", refusal.BackendBroken},
+		{"interim responses without end", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", hop.MaxHeaderBytes), refusal.BackendBroken},
 		{"long header", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 2*hop.MaxHeaderBytes) + "\r\n\r\n", refusal.BackendBroken},
 	}
 	for _, c := range cases {
--- a/io/server/server_test.go
+++ b/io/server/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -64,6 +66,31 @@
 	return s.Send(context.Background(), c, &http1.Request{Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {"1"}}})
 }
 
+// Guards against a health check whose response is malformed or cut off and that counts as
+// the state of the backend server.
+func TestInvalidHealthChecksFail(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(conn, text)
+				_ = conn.Close()
+			})
+			_, err := s.CheckHealth(context.Background(), "/", http.Header{})
+			var sendErr *http1.SendError
+			is.True(errors.As(err, &sendErr))
+			is.True(sendErr.Sent)
+		})
+	}
+}
+
 // Guards against a call of a running request that waits behind a new request of the same
 // priority which came before it.
 func TestQueuedCallPrecedesNewRequest(t *testing.T) {
