http1: a connection that is closed while its buffer fills is read no more

Callers: none directly. A daemon kept a goroutine, the buffer of up to 64 KB and its reservation in the account for each such connection, for ever. Cause: the reading goroutine appends what it has read and then waits for room until it is woken. Close wakes it once; when Close came after the read and before the wait, nobody woke it again. The new TestCloseWhileBufferFills plays that order and failed each time. After: store gives up at once when the connection has been closed; the test passes.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -112,6 +112,12 @@
 // to continue reading.
 func (c *Conn) store(data []byte, err error) bool {
 	c.mu.Lock()
+	if c.err != nil {
+		// Close has been called during the read, and wakes nobody after it.
+		c.mu.Unlock()
+		close(c.done)
+		return false
+	}
 	c.append(data)
 	if err != nil {
 		c.err = err
--- a/io/http1/conn_test.go
+++ b/io/http1/conn_test.go
@@ -99,3 +99,46 @@
 	}()
 	return listener.Addr().String()
 }
+
+// Guards against a connection that is closed just when its buffer becomes full, and whose
+// reading goroutine then waits for ever for room in it.
+func TestCloseWhileBufferFills(t *testing.T) {
+	is := is.New(t)
+	inner := &heldConn{reads: make(chan struct{}), reading: make(chan struct{}, 1)}
+	conn := NewConn(inner)
+	for range maxReadAhead / readSize {
+		<-inner.reading
+		if conn.buffered() < maxReadAhead-readSize {
+			inner.reads <- struct{}{}
+		}
+	}
+	// The read that fills the buffer returns after Close.
+	is.NoErr(conn.Close())
+	inner.reads <- struct{}{}
+	select {
+	case <-conn.Done():
+	case <-time.After(testTimeout):
+		t.Fatal("the connection is still read")
+	}
+}
+
+// heldConn is a connection whose reads each wait to be let on and then fill their buffer.
+type heldConn struct {
+	net.Conn
+	reads, reading chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	c.reading <- struct{}{}
+	<-c.reads
+	return len(p), nil
+}
+
+func (c *heldConn) Close() error { return nil }
+
+// buffered returns the number of unread bytes.
+func (c *Conn) buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unread()
+}
