--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -1,8 +1,9 @@
 // Package http1 adds to net/http what a proxy needs: connections that detect a
 // close by the peer while a request is in progress, a server that handles
 // pipelined requests concurrently, a listener that stops without resetting
-// accepted connections, and a client pool that sends each request at most once
-// and reports whether any byte of it may have reached the peer.
+// accepted connections, a client pool that sends each request at most once and
+// reports whether any byte of it may have reached the peer, and a transport for
+// http.Client that refuses malformed responses as the pool does.
 //
 // # Usage
 //
@@ -11,6 +12,8 @@
 //
 //	pool := http1.NewPool(http1.PoolOptions{...})
 //	response, err := pool.Do(ctx, "192.0.2.1:8080", request)
+//
+//	client := &http.Client{Transport: http1.NewTransport(&http.Transport{})}
 package http1
 
 import (
@@ -66,11 +69,10 @@
 	// done is the channel that Done returns.
 	done chan struct{}
 
-	// writing is held while Write runs.
+	// writing is held while Write runs. It guards broken, the error with which the kernel
+	// has ended the connection if a write received it.
 	writing sync.Mutex
-	// broken is the error with which the kernel has ended the connection, if a write
-	// received it.
-	broken error
+	broken  error
 }
 
 // NewConn wraps the connection and starts reading ahead.
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -287,7 +287,7 @@
 	return nil, false, errOtherRequest
 }
 
-// readHeader reads the status line and header of the next final response and
+// readHeader reads and checks the status line and header of the next final response and
 // skips interim ones.
 func (c *clientConn) readHeader(httpRequest *http.Request) (*http.Response, error) {
 	c.limitedReader.N = maxResponseHeader
--- a/io/http1/response_body.go
+++ b/io/http1/response_body.go
@@ -62,6 +62,7 @@
 func (p *Pool) readUnknown(ctx context.Context, reader io.Reader, held *responseHolding) (body []byte, err error) {
 	for {
 		if len(body) == cap(body) {
+			// One byte beyond the largest body tells that a body is longer.
 			size := int(min(max(firstChunk, 2*int64(cap(body))), p.options.MaxBodyBytes+1))
 			if err := held.grow(ctx, int64(size-cap(body))); err != nil {
 				return nil, err
--- a/io/http1/stream_end.go
+++ b/io/http1/stream_end.go
@@ -8,7 +8,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// Write writes to the connection.
+// Write writes to the connection. It keeps the error with which the kernel has ended the
+// connection for the goroutine that reads.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -70,5 +71,6 @@
 	if infoErr != nil {
 		return false, infoErr
 	}
+	// The states of TCP_INFO have the numbers of those for BPF.
 	return info.State == unix.BPF_TCP_CLOSE, nil
 }
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -129,8 +129,9 @@
 func (c *headConn) end() []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recording = false
-	return c.head
+	heads := c.head
+	c.recording, c.head = false, nil
+	return heads
 }
 
 // ReadBody reads the whole body of a response of a Transport. It returns an error, of which
--- a/io/ingress/attempt.go
+++ b/io/ingress/attempt.go
@@ -138,9 +138,6 @@
 		OfRequest: j.parent != nil, Origin: j.origin(), Arrived: j.arrived, Expected: h.latencies.Mean(j.route.Name),
 	}
 	response, refused := h.send(ctx, j, &choice.Server, call)
-	if refused == nil && !j.route.Idempotent && promisesNotRun(response.Status) {
-		response, refused = nil, refusal.Wrap(refusal.BackendBroken, refusal.Unknown, errUnprovenPromise)
-	}
 	h.recordCalls(j, response, refused)
 	if refused == nil || mayHaveReachedBackend(refused) {
 		j.record.Arrivals++
@@ -154,20 +151,6 @@
 	return response, refused
 }
 
-var errUnprovenPromise = errors.New("the status promises that the request has not run, but the backend server does not state it")
-
-// promisesNotRun reports whether clients take the status for a promise that the request has
-// not run, and send it again. A backend server that means it says so in a header as well,
-// and its response is then a refusal.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // recordColdRefusal records that a cold backend server has refused the request.
 func (h *Handler) recordColdRefusal(j *job, call relay.Call, refused *refusal.Error) {
 	now := h.options.Now()
@@ -187,10 +170,27 @@
 	h.options.Chooser.Started(target.ID, h.options.Now())
 	defer func() { h.options.Chooser.Finished(target.ID, result, h.options.Now()) }()
 	response, refused = h.options.Sender.Do(ctx, target, call, j.request)
+	if refused == nil && !j.route.Idempotent && promisesNotRun(response.Status) {
+		response, refused = nil, refusal.Wrap(refusal.BackendBroken, refusal.Unknown, errUnprovenPromise)
+	}
 	result = resultOf(response, refused)
 	return response, refused
 }
 
+var errUnprovenPromise = errors.New("the status promises that the request has not run, but the backend server does not state it")
+
+// promisesNotRun reports whether clients take the status for a promise that the request has
+// not run, and send it again. A backend server that means it says so in a header as well,
+// and its response is then a refusal.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordCalls records the calls that the backend server made for this request, and
 // charges them to the retry budget if an earlier attempt may have reached a backend
 // server.
