http1: a response that closes the connection waits for the pipeline behind it

Callers: a daemon that was stopping refused the second of three pipelined lookups and closed the connection with that refusal. Cause: writeLoop closed the connection after the first response with "Connection: close", which cancelled the requests behind it. Each request of a pipeline is admitted by itself, so one that is served may follow one that is refused. Ruled out: the decision of core/shutdown, which is right for each request; refusing all requests behind a refused one, since they may have begun before. TestPipelineIsAnsweredBeforeClose, on that code: "refuse: 503, closes", "serve: no response". After: such a response ends the pipeline: no further request begins, and the last response that is outstanding closes the connection.

--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -30,9 +30,8 @@
 	limitedReader *io.LimitedReader
 	reader        *bufio.Reader
 	writer        *bufio.Writer
-	// pending holds a channel for each outstanding response, in request order.
-	pending chan chan *Response
-	client  holdings.Client
+	pipeline      *pipeline
+	client        holdings.Client
 	// inner is the connection below conn.
 	inner net.Conn
 	// slot is the connection's place among the others of the server, or nil.
@@ -52,16 +51,20 @@
 	sinceMoved    int
 	readingHeader bool
 	// hasUnreadInput is set, before the response is queued, if part of a rejected
-	// request was not read. Closing the connection would then reset it.
+	// request was not read, and when the pipeline has ended. Closing the connection would
+	// then reset it.
 	hasUnreadInput atomic.Bool
-	ctx            context.Context //nolint:containedctx // It lasts as long as the connection.
-	cancel         context.CancelCauseFunc
+	// readerDone is closed once readLoop has returned.
+	readerDone chan struct{}
+	ctx        context.Context //nolint:containedctx // It lasts as long as the connection.
+	cancel     context.CancelCauseFunc
 }
 
 // newServerConn returns the connection, or nil if there is no room for it.
 func newServerConn(server *Server, inner net.Conn) *serverConn {
 	c := &serverConn{
-		server: server, inner: inner, pending: make(chan chan *Response, maxPipelined), client: ClientOf(inner.RemoteAddr().String()),
+		server: server, inner: inner, pipeline: newPipeline(), client: ClientOf(inner.RemoteAddr().String()),
+		readerDone: make(chan struct{}),
 	}
 	var granted bool
 	c.slot, granted = server.places.Reserve(holdings.Request{
@@ -90,12 +93,23 @@
 }
 
 // reserveResponse queues a channel for the next response and returns it. It marks
-// the connection as active.
-func (c *serverConn) reserveResponse() chan *Response {
-	c.activity.add(1)
-	response := make(chan *Response, 1)
-	c.pending <- response
-	return response
+// the connection as active. It returns false if no further request may begin.
+func (c *serverConn) reserveResponse() (chan<- *Response, bool) {
+	response, reserved := c.pipeline.reserve()
+	if reserved {
+		c.activity.add(1)
+		c.pipeline.push(response)
+	}
+	return response, reserved
+}
+
+// queueResponse queues a response that is known already, and reports whether it did.
+func (c *serverConn) queueResponse(response *Response) bool {
+	queued, reserved := c.reserveResponse()
+	if reserved {
+		queued <- response
+	}
+	return reserved
 }
 
 // serve handles the requests of the connection until it ends.
@@ -116,7 +130,8 @@
 	if err != nil {
 		c.server.reportPanic(&http.Request{}, err)
 	}
-	close(c.pending)
+	close(c.readerDone)
+	close(c.pipeline.queue)
 	<-writerDone
 	_ = c.conn.Close()
 	c.cancel(nil)
@@ -125,10 +140,14 @@
 	c.server.mu.Unlock()
 }
 
-// close closes the connection. Closing with unread input would reset it and lose
-// the response in transit, so such input is first read and discarded for a while.
-func (c *serverConn) close() {
+// closeAfterLast closes the connection after its last response. Closing with unread input
+// would reset it and lose the response in transit, so such input is first read and
+// discarded for a while.
+func (c *serverConn) closeAfterLast() {
 	if closeWriter, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok && c.hasUnreadInput.Load() && closeWriter.CloseWrite() == nil {
+		// The read loop would set other deadlines.
+		c.conn.AbortReads()
+		<-c.readerDone
 		c.conn.setAborted(false)
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 		// The result does not matter, since the connection is closed next.
@@ -243,7 +262,7 @@
 		c.server.options.OnRefused(err)
 	}
 	c.hasUnreadInput.Store(true)
-	c.reserveResponse() <- &Response{Status: status, Header: header}
+	c.queueResponse(&Response{Status: status, Header: header})
 }
 
 // dispatch starts handling a request and reports whether the next one can be read.
@@ -252,23 +271,28 @@
 	if maxBodyBytes > 0 && request.ContentLength > maxBodyBytes {
 		// The handler rejects it based on its Content-Length.
 		c.hasUnreadInput.Store(true)
-		c.reserveResponse() <- c.handle(request, nil)
+		if response, reserved := c.reserveResponse(); reserved {
+			response <- c.handle(request, nil)
+		}
 		return false
 	}
-	if request.Header.Get("Expect") != "" {
-		// Responses to earlier requests go first, so it takes its turn among them.
-		c.reserveResponse() <- &Response{Status: http.StatusContinue}
+	// Responses to earlier requests go first, so it takes its turn among them.
+	if request.Header.Get("Expect") != "" && !c.queueResponse(&Response{Status: http.StatusContinue}) {
+		return false
 	}
 	buffered, err := c.bufferBody(request)
 	if err != nil {
 		c.reject(err)
 		return false
 	}
+	response, reserved := c.reserveResponse()
+	if !reserved {
+		return false
+	}
 	holding := c.holding
 	// handle releases it.
 	c.holding = nil
 	holding.Complete()
-	response := c.reserveResponse()
 	if buffered {
 		go func() { response <- c.handle(request, holding) }()
 		return true
@@ -312,24 +336,50 @@
 }
 
 // writeLoop sends responses in request order. After a failed write, a nil response
-// or one with "Connection: close" it closes the connection, which ends the read
+// or the last response of the connection it closes the connection, which ends the read
 // loop and cancels the requests in progress.
 func (c *serverConn) writeLoop() {
 	open := true
-	for next := range c.pending {
+	for next := range c.pipeline.queue {
 		response := <-next
-		if open && (response == nil || c.send(response) != nil || response.Header.Get("Connection") == "close") {
-			open = false
-			c.close()
-		}
+		open = open && c.respond(response)
 		if response != nil {
 			response.Booking.Close()
 			response.Held.Release()
 		}
+		c.pipeline.done()
 		c.activity.add(-1)
 	}
 }
 
+// respond sends a response and reports whether the connection is still open. A response
+// with "Connection: close" ends the pipeline instead of the connection: requests behind it
+// have begun, and their responses would be lost. The last of these closes the connection.
+func (c *serverConn) respond(response *Response) bool {
+	if response != nil && response.Header.Get("Connection") == "close" {
+		c.pipeline.end()
+		c.hasUnreadInput.Store(true)
+	}
+	last := c.pipeline.isLast()
+	switch {
+	case response == nil, last && response.Status == http.StatusContinue:
+		_ = c.conn.Close()
+		return false
+	case last:
+		response.Header.Set("Connection", "close")
+	default:
+		response.Header.Del("Connection")
+	}
+	if c.send(response) != nil {
+		_ = c.conn.Close()
+		return false
+	}
+	if last {
+		c.closeAfterLast()
+	}
+	return !last
+}
+
 // send writes the response. The time allowed for it grows with the body.
 func (c *serverConn) send(response *Response) error {
 	if response.Status == http.StatusContinue {
