http1: the last response of a connection announces its end

Callers: a client that sends a body above the limit could get a reset instead of the 413, since the connection was closed with unread input at once. Cause: only responses that the handler itself marks closed the connection in order; where the read loop ended by itself, nothing said so. Ruled out: closing as soon as the last response is sent. Go's client fails a request whose connection ends while it still writes a long body, so the rest of that body is read first, as before (trial, TestResetWithinEarlyResponse). Before: the new TestLastResponseAnnouncesClose failed in all five cases. After: it passes, as io/http1 does with the race detector and the tests of broken responses in sidecar.

--- a/io/http1/pipeline.go
+++ b/io/http1/pipeline.go
@@ -47,6 +47,13 @@
 	p.ended = true
 }
 
+// hasEnded reports whether no further response can be reserved.
+func (p *pipeline) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 // isLast reports whether the response at the front is the last one.
 func (p *pipeline) isLast() bool {
 	p.mu.Lock()
--- a/io/http1/pipeline_test.go
+++ b/io/http1/pipeline_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 )
 
 // Guards against requests that have begun and lose their responses, because the response to
@@ -90,6 +91,60 @@
 	return seen.String()
 }
 
+// Guards against clients that use a connection again which the server closes after a
+// response, and against responses that are lost because the body of their request was not
+// read.
+func TestLastResponseAnnouncesClose(t *testing.T) {
+	limits := func() Limits {
+		limits := strictLimits()
+		limits.IdleTimeout = headerTimeout
+		return limits
+	}
+	tests := []struct {
+		name, request, body, want string
+		// stop shuts the server down while the request runs.
+		stop bool
+	}{
+		{name: "http/1.0", request: "GET / HTTP/1.0\r\nHost: a\r\n\r\n", want: "200, closes"},
+		{name: "client closes", request: "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", want: "200, closes"},
+		{name: "idle timeout", request: "GET / HTTP/1.1\r\nHost: a\r\n\r\n", want: "200, closes"},
+		{name: "shutdown", request: "GET / HTTP/1.1\r\nHost: a\r\n\r\n", stop: true, want: "200, closes"},
+		{
+			name: "unread body", request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n",
+			body: strings.Repeat("x", 1_000_000), want: "413, closes",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			running := make(chan struct{})
+			server, address := serveWith(t, ServerOptions{Limits: limits, Handler: func(_ context.Context, r *http.Request) *Response {
+				if r.ContentLength > strictLimits().BodyBytes {
+					return &Response{Status: http.StatusRequestEntityTooLarge, Header: http.Header{}}
+				}
+				close(running)
+				time.Sleep(2 * shutdownReadTimeout)
+				return &Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte("/")}
+			}})
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(testTimeout))
+			_, err = io.WriteString(conn, test.request)
+			is.NoErr(err)
+			if test.stop {
+				<-running
+				ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+				defer cancel()
+				go func() { _ = server.Shutdown(ctx) }()
+			}
+			_, err = io.WriteString(conn, test.body)
+			is.NoErr(err)
+			is.Equal(readOutcome(bufio.NewReader(conn), "/"), test.want)
+		})
+	}
+}
+
 // readOutcome reads a response, which must have the given body if it is a success.
 func readOutcome(reader *bufio.Reader, want string) string {
 	response, err := http.ReadResponse(reader, nil)
--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -54,6 +54,8 @@
 	// request was not read, and when the pipeline has ended. Closing the connection would
 	// then reset it.
 	hasUnreadInput atomic.Bool
+	// awaitsRequest is set while the read loop waits for a request or receives one.
+	awaitsRequest atomic.Bool
 	// readerDone is closed once readLoop has returned.
 	readerDone chan struct{}
 	ctx        context.Context //nolint:containedctx // It lasts as long as the connection.
@@ -140,14 +142,15 @@
 	c.server.mu.Unlock()
 }
 
-// closeAfterLast closes the connection after its last response. Closing with unread input
-// would reset it and lose the response in transit, so such input is first read and
-// discarded for a while.
+// closeAfterLast closes the connection after its last response, once the read loop has
+// read the rest of that request. Closing with unread input would reset the connection and
+// lose the response in transit, so such input is then read and discarded for a while.
 func (c *serverConn) closeAfterLast() {
-	if closeWriter, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok && c.hasUnreadInput.Load() && closeWriter.CloseWrite() == nil {
-		// The read loop would set other deadlines.
+	if c.awaitsRequest.Load() {
 		c.conn.AbortReads()
-		<-c.readerDone
+	}
+	<-c.readerDone
+	if closeWriter, ok := c.conn.Conn.(interface{ CloseWrite() error }); ok && c.hasUnreadInput.Load() && closeWriter.CloseWrite() == nil {
 		c.conn.setAborted(false)
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 		// The result does not matter, since the connection is closed next.
@@ -159,7 +162,10 @@
 // readLoop reads and dispatches requests until the connection ends or the server
 // shuts down.
 func (c *serverConn) readLoop() {
-	defer func() { c.holding.Release() }()
+	defer func() {
+		c.holding.Release()
+		c.pipeline.end()
+	}()
 	for c.serveNext() {
 		c.holding.Release()
 		c.holding = nil
@@ -174,13 +180,21 @@
 		c.reject(err)
 		return false
 	}
-	last := request.Close || request.ProtoMajor == 1 && request.ProtoMinor == 0
-	return c.dispatch(request) && !last
+	return c.dispatch(request) && !isLastRequest(request)
+}
+
+// isLastRequest reports whether the client closes the connection after the request.
+func isLastRequest(request *http.Request) bool {
+	return request.Close || request.ProtoMajor == 1 && request.ProtoMinor == 0
 }
 
 // readRequest reads the header of the next request. During shutdown it waits only
 // shutdownReadTimeout for one.
 func (c *serverConn) readRequest() (*http.Request, error) {
+	c.awaitsRequest.Store(true)
+	if c.pipeline.hasEnded() {
+		return nil, errNoFurtherRequest
+	}
 	c.conn.trim()
 	limits := c.server.options.Limits()
 	c.limitedReader.N = limits.HeaderBytes + bufferSize
@@ -272,6 +286,8 @@
 		// The handler rejects it based on its Content-Length.
 		c.hasUnreadInput.Store(true)
 		if response, reserved := c.reserveResponse(); reserved {
+			c.awaitsRequest.Store(false)
+			c.pipeline.end()
 			response <- c.handle(request, nil)
 		}
 		return false
@@ -289,6 +305,10 @@
 	if !reserved {
 		return false
 	}
+	c.awaitsRequest.Store(false)
+	if isLastRequest(request) {
+		c.pipeline.end()
+	}
 	holding := c.holding
 	// handle releases it.
 	c.holding = nil
