sidecar, platform: a watch that returns more than a listing is given up for one

Cause: a watch returns each version in full. One that took more than 2.1 s was cut off and made again from the same revision, where its response was longer. Listings had the same limit in all, and began again after each failed call. After: a watch is given up once its response is longer than 1.5 times a listing, slower than 256 KB/s, or the second in a row that is cut; the store is listed instead, page by page, and goes on after a failed call. Bytes read are at most 2.5 times those of the better choice. Responses are decoded while they arrive, with the encoded form of one item in memory. Where the store is down or refuses, nothing is listed that was not listed before.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -67,9 +67,11 @@
 
 // Mirror is a replica of the store. It is safe for concurrent use.
 type Mirror struct {
-	mu           sync.Mutex
-	asOf         Revision
-	items        map[string]Item
+	mu    sync.Mutex
+	asOf  Revision
+	items map[string]Item
+	// valueBytes is the size of all values of items.
+	valueBytes   int64
 	history      []Item
 	historyStart Revision
 	// pastValues holds earlier large values of each key, oldest first.
@@ -114,7 +116,10 @@
 	for _, item := range applied {
 		m.keepPastValue(item.Key)
 	}
-	m.items, m.history, m.historyStart = listed, nil, asOf
+	m.items, m.valueBytes, m.history, m.historyStart = listed, 0, nil, asOf
+	for _, item := range listed {
+		m.valueBytes += int64(len(item.Value))
+	}
 	m.advance(asOf)
 	return applied
 }
@@ -138,11 +143,7 @@
 			continue
 		}
 		m.keepPastValue(event.Key)
-		if event.Deleted {
-			delete(m.items, event.Key)
-		} else {
-			m.items[event.Key] = event
-		}
+		m.set(event)
 		applied = append(applied, event)
 	}
 	m.appendHistory(applied)
@@ -150,6 +151,24 @@
 	return applied, nil
 }
 
+// set changes or removes the item of a key.
+func (m *Mirror) set(event Item) {
+	m.valueBytes -= int64(len(m.items[event.Key].Value))
+	if event.Deleted {
+		delete(m.items, event.Key)
+		return
+	}
+	m.items[event.Key] = event
+	m.valueBytes += int64(len(event.Value))
+}
+
+// Size returns the number of items and the size of all their values in bytes.
+func (m *Mirror) Size() (items int, valueBytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.items), m.valueBytes
+}
+
 // keepPastValue stores the value of a key that is about to change, and drops it from
 // the history, from which only the latest value of a key is sent.
 func (m *Mirror) keepPastValue(key string) {
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -10,7 +10,6 @@
 
 	"marjoramsaddle/core/contain"
 	"marjoramsaddle/core/gossip"
-	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
@@ -27,9 +26,8 @@
 	// storeCallMargin is added for the round trip to the store. A call whose response
 	// begins later is on a connection that no longer responds.
 	storeCallMargin = 600 * time.Millisecond
-	// storeTransferTime is added for the body of a response. A configuration of half a
-	// megabyte takes that long on a link of 6 Mbit/s.
-	storeTransferTime = time.Second
+	// storeStallTimeout is how long a response may pause after it has begun.
+	storeStallTimeout = time.Second
 	// batchDelay is the pause after a watch that returned changes, so that the next one
 	// returns several at once.
 	batchDelay = 100 * time.Millisecond
@@ -67,12 +65,16 @@
 	// return. A copy fetched from another daemon is complete, so watches continue from
 	// it.
 	copyMayBeIncomplete, storeUnreachable := false, false
+	// cutWatches counts the watches in a row whose responses have begun and not ended.
+	cutWatches := 0
 	// awaitingFirstResponse is set until the first response after this daemon started
 	// reading.
 	reading, awaitingFirstResponse := true, true
 	for ctx.Err() == nil {
 		relistRequested := d.relistRequested.Swap(false)
-		copyMayBeIncomplete = copyMayBeIncomplete || relistRequested
+		if relistRequested {
+			copyMayBeIncomplete, d.listing = true, listing{}
+		}
 		if readNeeded := relistRequested || d.shouldReadStore(); readNeeded != reading {
 			reading = readNeeded
 			awaitingFirstResponse = true
@@ -88,21 +90,26 @@
 			// reads.
 			wait = immediateWait
 		}
-		err := contain.Panics(func() error { return d.readStore(ctx, copyMayBeIncomplete || d.mirror.AsOf() == 0, wait) })
-		switch {
-		case err == nil:
+		list := copyMayBeIncomplete || d.mirror.AsOf() == 0
+		err := contain.Panics(func() error { return d.readStore(ctx, list, wait) })
+		if err == nil {
 			copyMayBeIncomplete, awaitingFirstResponse = false, false
-			backoff = minBackoff
+			backoff, cutWatches = minBackoff, 0
 			if storeUnreachable {
 				storeUnreachable = false
 				d.log.Info("store responds again")
 			}
 			continue
-		case errors.Is(err, platform.ErrHistoryGone), errors.Is(err, mirror.ErrGap):
-			d.log.Info("store no longer has the history; listing again", zap.Uint64("revision", uint64(d.mirror.AsOf())))
+		}
+		if !list && needsListing(err) {
+			d.log.Info("listing the store again", zap.Error(err), zap.Uint64("revision", uint64(d.mirror.AsOf())))
 			copyMayBeIncomplete = true
 			continue
 		}
+		if errors.Is(err, platform.ErrResponseCut) {
+			cutWatches++
+			copyMayBeIncomplete = copyMayBeIncomplete || cutWatches >= maxCutWatches
+		}
 		if contain.Stack(err) != "" {
 			// The copy may contain changes that were not applied.
 			d.logPanic("store response", err)
@@ -130,56 +137,6 @@
 	return !waitsForSeeds || time.Since(d.startedAt) > firstStartWait
 }
 
-// readStore makes one watch call, or the calls of one listing.
-func (d *Daemon) readStore(ctx context.Context, list bool, wait time.Duration) error {
-	if list {
-		return d.listStore(ctx)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, storeResponseTimeout+storeTransferTime)
-	defer cancel()
-	began := d.now()
-	changes, err := d.store.Watch(callCtx, "", d.mirror.AsOf(), wait)
-	if err != nil {
-		return err
-	}
-	applied, err := d.applyChanges(changes, d.storeState.recordStoreRead)
-	if err != nil {
-		return err
-	}
-	if len(applied) > 0 {
-		d.log.Info("changes from store", zap.Int("changes", len(applied)), zap.Uint64("revision", uint64(changes.AsOf)),
-			zap.Duration("took", d.now().Sub(began)))
-		d.gossip.Send(sample(d.members.addresses(), readerFanout), d.readerPiggyback())
-		sleep(ctx, batchDelay)
-	}
-	return nil
-}
-
-// listStore reads all items. Pages are not a consistent snapshot: the watch continues
-// from the revision of the first page and returns what changed between them.
-func (d *Daemon) listStore(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, storeResponseTimeout+storeTransferTime)
-	defer cancel()
-	var items []mirror.Item
-	var asOf mirror.Revision
-	for after := ""; ; {
-		page, err := d.store.List(callCtx, "", after)
-		if err != nil {
-			return err
-		}
-		if after == "" {
-			asOf = page.AsOf
-		}
-		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			break
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-	_, err := d.applyChanges(mirror.Changes{Events: items, AsOf: asOf, Whole: true}, d.storeState.recordStoreRead)
-	return err
-}
-
 // waitForSignal waits for the signal or the end of the context.
 func waitForSignal(ctx context.Context, signal <-chan struct{}) {
 	select {
--- /dev/null
+++ b/sidecar/read_store_test.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramsaddle/platform/platformtest"
+)
+
+const (
+	// slowLink is the rate in bytes per second of the slowest links, 6 Mbit/s.
+	slowLink = 750_000
+	// manyRoutes is the number of routes of a configuration of 300 KB.
+	manyRoutes = 1400
+)
+
+// putLargeConfiguration publishes a configuration whose routes all differ from those of
+// other versions.
+func (f *fleet) putLargeConfiguration(version int) {
+	routes := f.routes("counter")
+	for i := range manyRoutes {
+		timeout := time.Second + time.Duration(version)*time.Millisecond
+		routes = append(routes, platformtest.Route(fmt.Sprintf("r-%07d", i), fmt.Sprintf("/page%04d/", i), "safe", "counter", timeout, 2))
+	}
+	f.putConfiguration(fmt.Sprint("r", version), routes...)
+}
+
+// runsVersion reports whether the version is in force at all hosts.
+func (f *fleet) runsVersion(version int) bool {
+	for _, h := range f.hosts {
+		if table := h.daemon.table.Load(); table == nil || int(table.Version) != version {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against daemons that stay at an old version for good, because the versions after
+// it, which a watch returns all in full, take longer on the hosts' links than a watch may.
+func TestLargeVersionsInSeriesArriveOnSlowLinks(t *testing.T) {
+	f := newFleet(t, "counter", "depot")
+	for _, h := range f.hosts {
+		link, err := platformtest.NewLink(f.store.Address(), slowLink)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(link.Close)
+		h.store = link.Address()
+		f.putServer(h, "ready")
+	}
+	f.putLargeConfiguration(1)
+	f.start(f.hosts...)
+	f.eventually(func() bool { return f.runsVersion(1) })
+	const last = 14
+	for version := 2; version <= last; version++ {
+		f.putLargeConfiguration(version)
+	}
+	f.eventually(func() bool { return f.runsVersion(last) })
+}
+
+// Guards against a listing that never ends where single calls fail, because it begins
+// again after each failure.
+func TestFailedListingContinues(t *testing.T) {
+	f := newFleet(t, "counter", "counter", "counter", "counter", "depot", "depot")
+	f.putConfiguration("r1", f.routes("counter")...)
+	for _, h := range f.hosts {
+		f.putServer(h, "ready")
+	}
+	var calls atomic.Int64
+	f.store.Refuse(func(string) bool { return calls.Add(1)%2 == 0 })
+	f.start(f.hosts[0])
+	f.eventually(func() bool { return f.ready(f.hosts[0]) })
+	// Seven items on pages of three.
+	is.New(t).Equal(f.store.PageCount(), 3)
+}
+
+// Guards against a daemon that repeats a watch for good whose response always ends early.
+func TestStoreIsListedAfterCutWatches(t *testing.T) {
+	f := newFleet(t, "counter")
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response, err := http.Get("http://" + f.store.Address() + r.URL.String())
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, _ := io.ReadAll(response.Body)
+		if bytes.Contains(body, []byte(`"events":[{`)) {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)+1))
+		}
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(store.Close)
+	h := f.hosts[0]
+	h.store = strings.TrimPrefix(store.URL, "http://")
+	f.putServer(h, "ready")
+	f.putConfiguration("r1", f.routes("counter")...)
+	f.start(h)
+	f.eventually(func() bool { return f.runsVersion(1) })
+	f.putConfiguration("r2", f.routes("counter")...)
+	f.eventually(func() bool { return f.runsVersion(2) })
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -98,8 +98,10 @@
 
 	mirror *mirror.Mirror
 	// applyMu makes a change of the mirror and of what is derived from it one step.
-	applyMu      sync.Mutex
-	store        *platform.Store
+	applyMu sync.Mutex
+	store   *platform.Store
+	// listing is the listing of the store in progress. It belongs to followStore.
+	listing      listing
 	chooser      *placement.Chooser
 	localBackend *server.Server
 	hopPool      *http1.Pool
@@ -152,12 +154,14 @@
 		return nil, err
 	}
 	d := &Daemon{
-		log:           log.Named("sidecar"),
-		metrics:       metrics,
-		metricsPort:   metricsPort,
-		startedAt:     time.Now(),
-		mirror:        mirror.New(),
-		store:         platform.NewStore(settings.StoreAddress, storeResponseTimeout),
+		log:         log.Named("sidecar"),
+		metrics:     metrics,
+		metricsPort: metricsPort,
+		startedAt:   time.Now(),
+		mirror:      mirror.New(),
+		store: platform.NewStore(platform.StoreOptions{
+			Address: settings.StoreAddress, ResponseTimeout: storeResponseTimeout, StallTimeout: storeStallTimeout,
+		}),
 		announcements: announcement.NewTable(), announcementLimiter: newAnnouncementLimiter(),
 		chooser:       placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
 		configured:    make(chan struct{}),
