platform, sidecar: values that no daemon can use are dropped as they arrive

Cause: daemons kept such entries like any other. The store's answers with all of them exceeded what a daemon reads of it, and the changes that the readers of the store send to the others exceeded what these read (4 MB). Ruled out: larger limits, which only move the fault and take memory on hosts of 184 MB; leaving the entries out altogether, after which a listing could not tell that they are gone and a watch could not be compared with a listing. After: an entry of a backend server that can't be decoded or is longer than 16 KB, and a longer value of other keys but the configuration's, lose their value as they arrive; key, revision and size stay.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -44,8 +44,14 @@
 	Value    []byte
 	Revision Revision
 	Deleted  bool
+	// Omitted is the size in bytes of a value that was left out because no daemon can use
+	// it, or zero.
+	Omitted int
 }
 
+// size returns the size of the value in the store.
+func (i *Item) size() int64 { return int64(len(i.Value) + i.Omitted) }
+
 // Page is one page of a listing. The pages of a listing are not a consistent snapshot.
 type Page struct {
 	Items []Item
@@ -70,7 +76,7 @@
 	mu    sync.Mutex
 	asOf  Revision
 	items map[string]Item
-	// valueBytes is the size of all values of items.
+	// valueBytes is the size of all values of items in the store.
 	valueBytes   int64
 	history      []Item
 	historyStart Revision
@@ -118,7 +124,7 @@
 	}
 	m.items, m.valueBytes, m.history, m.historyStart = listed, 0, nil, asOf
 	for _, item := range listed {
-		m.valueBytes += int64(len(item.Value))
+		m.valueBytes += item.size()
 	}
 	m.advance(asOf)
 	return applied
@@ -153,16 +159,18 @@
 
 // set changes or removes the item of a key.
 func (m *Mirror) set(event Item) {
-	m.valueBytes -= int64(len(m.items[event.Key].Value))
+	former := m.items[event.Key]
+	m.valueBytes -= former.size()
 	if event.Deleted {
 		delete(m.items, event.Key)
 		return
 	}
 	m.items[event.Key] = event
-	m.valueBytes += int64(len(event.Value))
+	m.valueBytes += event.size()
 }
 
-// Size returns the number of items and the size of all their values in bytes.
+// Size returns the number of items and the size of all their values in the store, in
+// bytes.
 func (m *Mirror) Size() (items int, valueBytes int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/sidecar/entries_test.go
+++ b/sidecar/entries_test.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"crypto/rand"
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"marjoramsaddle/platform/platformtest"
 )
@@ -36,3 +38,54 @@
 		}
 	}
 }
+
+// foreignValue returns the largest value that the store takes, with bytes that can't be read.
+func foreignValue(t *testing.T) []byte {
+	t.Helper()
+	value := make([]byte, 1<<20)
+	if _, err := rand.Read(value); err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// Guards against large entries of another writer that keep versions out for good: a response
+// with all of them is longer than a daemon reads, from the store or from another daemon.
+func TestLargeForeignEntriesDoNotStopVersions(t *testing.T) {
+	const entries = 8
+	put := func(f *fleet, key string) { f.store.Put(platformtest.ServerPrefix+key, foreignValue(f.t)) }
+	for _, test := range []struct {
+		name string
+		// before and after write entries before the daemons start, and once they serve.
+		before, after func(f *fleet)
+	}{
+		{"before the start", func(f *fleet) {
+			for i := range entries {
+				put(f, fmt.Sprint("other-", i))
+			}
+		}, func(*fleet) {}},
+		{"while serving", func(*fleet) {}, func(f *fleet) {
+			for i := range entries {
+				put(f, fmt.Sprint("other-", i))
+			}
+		}},
+		{"one key again and again", func(*fleet) {}, func(f *fleet) {
+			for range 3 * entries {
+				put(f, "other")
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, "counter", "counter", "counter", "depot", "depot")
+			test.before(f)
+			f.startServing()
+			// The readers of the store are known and the others follow them.
+			time.Sleep(time.Second)
+			test.after(f)
+			f.putConfiguration("r2", f.routes("depot")...)
+			f.eventually(func() bool { return f.runsVersion(2) })
+			f.putConfiguration("r3", f.routes("counter")...)
+			f.eventually(func() bool { return f.runsVersion(3) })
+		})
+	}
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -72,9 +72,7 @@
 	reading, awaitingFirstResponse := true, true
 	for ctx.Err() == nil {
 		relistRequested := d.relistRequested.Swap(false)
-		if relistRequested {
-			copyMayBeIncomplete, d.listing = true, listing{}
-		}
+		copyMayBeIncomplete = copyMayBeIncomplete || relistRequested
 		if readNeeded := relistRequested || d.shouldReadStore(); readNeeded != reading {
 			reading = readNeeded
 			awaitingFirstResponse = true
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -161,6 +161,7 @@
 		mirror:      mirror.New(),
 		store: platform.NewStore(platform.StoreOptions{
 			Address: settings.StoreAddress, ResponseTimeout: storeResponseTimeout, StallTimeout: storeStallTimeout,
+			Usable: platform.Decoder{}.Usable,
 		}),
 		announcements: announcement.NewTable(), announcementLimiter: newAnnouncementLimiter(),
 		chooser:       placement.New(settings.Domain, xxhash.Sum64String(settings.IP)),
--- a/sidecar/state.go
+++ b/sidecar/state.go
@@ -103,6 +103,10 @@
 			zap.Uint64("revision", uint64(item.Revision)), zap.Bool("maybe_lapsed", lapsed))
 		return
 	}
+	if item.Omitted > 0 {
+		s.d.log.Warn("backend server entry rejected", zap.Uint64("revision", uint64(item.Revision)), zap.String("server", string(name)), zap.Int("bytes", item.Omitted))
+		return
+	}
 	listed, err := s.decoder.Server(name, item.Value)
 	if err != nil {
 		s.d.log.Warn("backend server entry rejected", zap.Uint64("revision", uint64(item.Revision)), zap.Error(err))
