sidecar: a daemon that can't read the changes of others lists the store

Cause: a fetch is bounded by 4 MB and 1.5 s. Beyond either it failed, another daemon was asked with the same result, and the daemon did not read the store itself, since the readers of the store were known to be well. Ruled out: changes in parts, which would need the same for whole copies and a format that earlier releases read; a listing after the first fetch that takes too long, since a single one may be due to a peer that was paused. Before: TestStoreIsReadInsteadOfUnreadableChanges on: "too long" and "too slow" fail, condition not met in time. After: after changes that are too long or can't be decoded, and after two fetches in a row that have begun and take too long, the daemon lists the store once. The test passes 3 of 3 with the race detector.

--- a/io/control/changes.go
+++ b/io/control/changes.go
@@ -130,8 +130,13 @@
 	}
 }
 
-// ErrBusy reports that a daemon is already transferring changes to others.
-var ErrBusy = errors.New("control: daemon is busy: ask another one")
+var (
+	// ErrBusy reports that a daemon is already transferring changes to others.
+	ErrBusy = errors.New("control: daemon is busy: ask another one")
+	// ErrUnreadable reports changes that are too long for one response, or cannot be
+	// decoded.
+	ErrUnreadable = errors.New("control: the changes cannot be read: read the store instead")
+)
 
 // Client fetches changes from other daemons.
 type Client struct{ pool *http1.Pool }
@@ -166,6 +171,9 @@
 		Method: http.MethodGet, Target: changesPath + "?" + values.Encode(), Host: address, Header: http.Header{},
 		NewConn: query.NewConn, OnResponse: query.OnResponse,
 	})
+	if errors.Is(err, http1.ErrResponseBodyTooLarge) {
+		return mirror.Changes{}, 0, unreadable(address, err)
+	}
 	if err != nil {
 		return mirror.Changes{}, 0, err
 	}
@@ -181,11 +189,15 @@
 	}
 	received, err := decodeChanges(bytes.NewReader(response.Body))
 	if err != nil {
-		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
+		return mirror.Changes{}, 0, unreadable(address, err)
 	}
 	changes, err := received.decodeDeltas(query.Held)
 	if err != nil {
-		return mirror.Changes{}, 0, fmt.Errorf("control: %s: %w", address, err)
+		return mirror.Changes{}, 0, unreadable(address, err)
 	}
 	return changes, time.Duration(ageMillis) * time.Millisecond, nil
 }
+
+func unreadable(address string, err error) error {
+	return fmt.Errorf("%w: %s: %w", ErrUnreadable, address, err)
+}
--- a/sidecar/catchup.go
+++ b/sidecar/catchup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +24,19 @@
 	// peerFetchTimeout bounds a fetch of changes from another daemon. A compressed
 	// configuration of one megabyte takes some hundred milliseconds on a slow link.
 	peerFetchTimeout = 1500 * time.Millisecond
+	// storeInsteadTimeout is how long a daemon that cannot read the changes of others waits
+	// for its own listing of the store before it asks others again.
+	storeInsteadTimeout = 3 * time.Second
+	// maxSlowFetches is the number of fetches in a row that may end within their responses
+	// for want of time before the store is read instead. A single one may be due to a peer
+	// that was paused.
+	maxSlowFetches = 2
+)
+
+var (
+	errFetchTimeout = errors.New("the changes have not arrived in time")
+	// errSlowFetch is errFetchTimeout for changes of which a part has arrived.
+	errSlowFetch = errors.New("the changes take longer than a fetch may")
 )
 
 // followPeers fetches changes from other daemons that are ahead.
@@ -36,7 +50,24 @@
 			waitForSignal(ctx, d.newerRevision)
 			continue
 		}
-		d.catchUp(ctx, address)
+		if errors.Is(d.catchUp(ctx, address), control.ErrUnreadable) {
+			d.readStoreInstead(ctx)
+		}
+	}
+}
+
+// readStoreInstead lists the store once, which has no limit for all items together, and
+// waits until the copy has advanced.
+func (d *Daemon) readStoreInstead(ctx context.Context) {
+	asOf := d.mirror.AsOf()
+	_, advanced := d.mirror.Since(asOf)
+	d.log.Info("reading the store instead of peers", zap.Uint64("revision", uint64(asOf)))
+	d.relistRequested.Store(true)
+	setSignal(d.readNeeded)
+	select {
+	case <-advanced:
+	case <-time.After(storeInsteadTimeout):
+	case <-ctx.Done():
 	}
 }
 
@@ -50,8 +81,10 @@
 }
 
 // catchUp fetches changes from the daemon at the address, and from others as long as
-// those that were asked are silent, until one of them has delivered or all have failed.
-func (d *Daemon) catchUp(ctx context.Context, address string) {
+// those that were asked are silent, until one of them has delivered or all have failed. It
+// returns control.ErrUnreadable if the changes are too long, or take too long on this
+// host's link, and would be so again.
+func (d *Daemon) catchUp(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	round := catchup.NewRound()
@@ -70,10 +103,11 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case one := <-ended:
 			if one.err == nil {
-				return
+				d.slowFetches = 0
+				return nil
 			}
 			if errors.Is(one.err, control.ErrBusy) {
 				round.Busy(one.address, d.now())
@@ -81,6 +115,13 @@
 			}
 			round.Failed(one.address, d.now())
 			d.recordFetchError(&one)
+			if errors.Is(one.err, errSlowFetch) {
+				d.slowFetches++
+			}
+			if d.slowFetches >= maxSlowFetches || errors.Is(one.err, control.ErrUnreadable) {
+				d.slowFetches = 0
+				return control.ErrUnreadable
+			}
 		case address := <-responding:
 			round.Responding(address, d.now())
 		case <-next:
@@ -94,6 +135,7 @@
 			start(fetch{address: another, newConn: true})
 		}
 	}
+	return nil
 }
 
 // fetch fetches changes, reports when the response begins, and reports its end.
@@ -108,6 +150,9 @@
 			}
 		})
 	})
+	if begun && errors.Is(one.err, errFetchTimeout) {
+		one.err = fmt.Errorf("%w: %w", errSlowFetch, one.err)
+	}
 	if ctx.Err() != nil && one.err != nil && !begun {
 		// Another daemon was faster. The idle connections to this one may be as silent.
 		d.controlPool.CloseIdleTo(one.address)
@@ -138,6 +183,9 @@
 	changes, age, err := d.peerClient.Changes(callCtx, one.address, control.Query{
 		After: d.mirror.AsOf(), Held: d.mirror.LargeItems(), NewConn: one.newConn, OnResponse: onResponse,
 	})
+	if err != nil && errors.Is(callCtx.Err(), context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", errFetchTimeout, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/sidecar/peers_test.go
+++ b/sidecar/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"marjoramsaddle/core/id"
+	"marjoramsaddle/core/link"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/io/control"
 	"marjoramsaddle/io/http1"
@@ -27,6 +29,9 @@
 	address string
 	copy    *mirror.Mirror
 	gossip  *control.Gossip
+	// link is the rate of the peer's link. One with a fast link reads the store in place of
+	// the daemons under test.
+	link link.Rate
 }
 
 // newScriptedPeer starts a peer that accepts connections. It serves its copy on them
@@ -73,7 +78,7 @@
 	p.gossip = control.NewGossip(beacons, control.GossipOptions{
 		Self: func() control.Beacon {
 			sequence++
-			return control.Beacon{Domain: "reduit", Revision: p.copy.AsOf(), Incarnation: 1, Sequence: sequence, Period: 100 * time.Millisecond}
+			return control.Beacon{Domain: "reduit", Link: p.link, Revision: p.copy.AsOf(), Incarnation: 1, Sequence: sequence, Period: 100 * time.Millisecond}
 		},
 		OnBeacon: func(*control.Beacon) {}, OnError: func(error) {}, Now: now,
 	})
@@ -186,3 +191,71 @@
 	is.NoErr(err)
 	is.Equal(changes.AsOf, mirror.Revision(10))
 }
+
+// Guards against a daemon that stays at an old version for good because no peer's changes
+// arrive whole: they are longer than a response may be, as those of a peer that keeps the
+// entries of another writer, or take longer on the link than a fetch may.
+func TestStoreIsReadInsteadOfUnreadableChanges(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		serve func(p *scriptedPeer) http.Handler
+	}{
+		{"too long", func(p *scriptedPeer) http.Handler {
+			return control.NewHandler(p.copy, func() time.Duration { return 0 })
+		}},
+		{"too slow", func(*scriptedPeer) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.WriteHeader(http.StatusOK)
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, "counter")
+			h := f.hosts[0]
+			f.putConfiguration("r1", f.routes("counter")...)
+			f.start(h)
+			f.eventually(func() bool { return f.runsVersion(1) })
+			peers := make([]*scriptedPeer, 2)
+			for i := range peers {
+				p, listener := f.listenAsPeer()
+				p.link = 1_000_000_000
+				p.copy.Replace(nil, 1)
+				p.serve(listener, test.serve(p))
+				peers[i] = p
+			}
+			announce := func() {
+				for _, p := range peers {
+					p.announce(f, h)
+				}
+			}
+			calls, lastCall := 0, time.Now()
+			f.eventually(func() bool {
+				announce()
+				if count := f.store.CallCount(); count != calls {
+					calls, lastCall = count, time.Now()
+				}
+				return time.Since(lastCall) > 2*watchWait
+			})
+			f.putConfiguration("r2", f.routes("counter")...)
+			for _, p := range peers {
+				p.copy.Replace(foreignItems(t, 1000), 1000)
+			}
+			f.eventually(func() bool {
+				announce()
+				return f.runsVersion(2)
+			})
+		})
+	}
+}
+
+// foreignItems returns items with values that no daemon can use, of 8 MB together.
+func foreignItems(t *testing.T, revision mirror.Revision) []mirror.Item {
+	t.Helper()
+	items := make([]mirror.Item, 8)
+	for i := range items {
+		items[i] = mirror.Item{Key: fmt.Sprint(platformtest.ServerPrefix, "other-", i), Value: foreignValue(t), Revision: revision}
+	}
+	return items
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -110,7 +110,10 @@
 	relay        *relay.Client
 	lane         *lane.Pacer
 	peerClient   *control.Client
-	gossip       *control.Gossip
+	// slowFetches counts the fetches in a row that have ended with errSlowFetch. It belongs
+	// to followPeers.
+	slowFetches int
+	gossip      *control.Gossip
 
 	storeState *storeState
 	coldWatch  *coldWatch
