--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -28,8 +28,8 @@
 	storeCallMargin = 600 * time.Millisecond
 	// storeStallTimeout is how long a response may pause after it has begun.
 	storeStallTimeout = time.Second
-	// batchDelay is the pause after a watch that returned changes, so that the next one
-	// returns several at once.
+	// batchDelay is the pause after a call of the store that returned changes, so that the
+	// next one returns several at once.
 	batchDelay = 100 * time.Millisecond
 	// minBackoff and maxBackoff limit the delay between calls to a store that fails.
 	minBackoff = 50 * time.Millisecond
--- a/sidecar/read_store.go
+++ b/sidecar/read_store.go
@@ -51,17 +51,19 @@
 	if err != nil {
 		return err
 	}
-	if len(applied) > 0 {
-		d.announceRead("changes from store", len(applied), began)
-		sleep(ctx, batchDelay)
-	}
+	d.announceRead(ctx, "changes from store", len(applied), began)
 	return nil
 }
 
-// announceRead logs changes that the store has returned, and notifies other daemons.
-func (d *Daemon) announceRead(message string, changes int, began id.Instant) {
+// announceRead logs how many changes the store has returned, notifies other daemons, and
+// waits for further changes.
+func (d *Daemon) announceRead(ctx context.Context, message string, changes int, began id.Instant) {
+	if changes == 0 {
+		return
+	}
 	d.log.Info(message, zap.Int("changes", changes), zap.Uint64("revision", uint64(d.mirror.AsOf())), zap.Duration("took", d.now().Sub(began)))
 	d.gossip.Send(sample(d.members.addresses(), readerFanout), d.readerPiggyback())
+	sleep(ctx, batchDelay)
 }
 
 // maxWatchBytes returns the length from which on the response to a watch is given up. A
@@ -121,10 +123,11 @@
 	listed := d.listing
 	d.listing = listing{}
 	applied, err := d.applyChanges(mirror.Changes{Events: listed.items, AsOf: listed.asOf, Whole: true}, d.storeState.recordStoreRead)
-	if err == nil && len(applied) > 0 {
-		d.announceRead("store listed", len(applied), began)
+	if err != nil {
+		return err
 	}
-	return err
+	d.announceRead(ctx, "store listed", len(applied), began)
+	return nil
 }
 
 func (d *Daemon) listPage(ctx context.Context, after string) (mirror.Page, error) {
