sidecar: versions take effect during a listing of several pages

Callers: with eight entries of 1 MB of another writer and links of 6 Mbit/s at all hosts, orders were run by the service of an older version for 16 s after a newer one was acknowledged (related path of the fault before). Cause: what a listing has read took effect at its end, and what was published after its first page even later. The entries take 16 s on such a link. Ruled out: separate watches for operators and backend servers at all times, which double the calls of the store; skipping the entries, since neither listings nor watches leave values out. After: between the pages of a listing a daemon that has a copy watches the keys of operators and puts a newer configuration in force. Listings of one page, as on the users' deployments, make no further call.

--- a/sidecar/read_store.go
+++ b/sidecar/read_store.go
@@ -89,12 +89,14 @@
 	// last is the key of the last item, and lastPageAt when its page arrived.
 	last       string
 	lastPageAt id.Instant
+	// operatorAsOf is the revision up to which configurations have been put in force.
+	operatorAsOf mirror.Revision
 }
 
 // add adds the next page and reports whether the listing is complete.
 func (l *listing) add(page *mirror.Page, now id.Instant) (complete bool) {
 	if l.last == "" {
-		l.asOf = page.AsOf
+		l.asOf, l.operatorAsOf = page.AsOf, page.AsOf
 	}
 	l.items, l.lastPageAt = append(l.items, page.Items...), now
 	if len(page.Items) > 0 {
@@ -119,6 +121,9 @@
 		complete = d.listing.add(&page, d.now())
 		// Others need not take over from a daemon that makes progress.
 		d.lastReadAt.Store(int64(d.now()))
+		if !complete {
+			d.applyNewerConfiguration(ctx, page.Items)
+		}
 	}
 	listed := d.listing
 	d.listing = listing{}
@@ -135,3 +140,39 @@
 	defer cancel()
 	return d.store.List(callCtx, "", after)
 }
+
+// applyNewerConfiguration puts a configuration in force that is among the items of a page,
+// or was published since the listing in progress began. On a slow link each page may take
+// two seconds, and large entries of other writers may fill many.
+func (d *Daemon) applyNewerConfiguration(ctx context.Context, page []mirror.Item) {
+	if d.mirror.AsOf() == 0 {
+		// Its routes would refer to backend servers that are not known yet.
+		return
+	}
+	d.applyConfigurations(page)
+	maxBytes := d.maxWatchBytes()
+	callCtx, cancel := context.WithTimeout(ctx, storeResponseTimeout+transferTime(maxBytes))
+	defer cancel()
+	changes, err := d.store.Watch(callCtx, platform.OperatorPrefix, d.listing.operatorAsOf, immediateWait, maxBytes)
+	if err != nil {
+		// The next page is followed by another attempt.
+		d.log.Debug("failed to watch for configurations during a listing", zap.Error(err))
+		return
+	}
+	d.listing.operatorAsOf = changes.AsOf
+	d.applyConfigurations(changes.Events)
+}
+
+// applyConfigurations applies the configurations among items that the copy of the store
+// may not have yet. Since configurations only get newer, they may be applied again.
+func (d *Daemon) applyConfigurations(items []mirror.Item) {
+	var configurations []mirror.Item
+	for _, item := range items {
+		if d.storeState.decoder.IsConfiguration(item.Key) && !item.Deleted {
+			configurations = append(configurations, item)
+		}
+	}
+	d.applyMu.Lock()
+	defer d.applyMu.Unlock()
+	d.storeState.apply(configurations)
+}
--- a/sidecar/read_store_test.go
+++ b/sidecar/read_store_test.go
@@ -44,17 +44,25 @@
 	return true
 }
 
-// Guards against daemons that stay at an old version for good, because the versions after
-// it, which a watch returns all in full, take longer on the hosts' links than a watch may.
-func TestLargeVersionsInSeriesArriveOnSlowLinks(t *testing.T) {
-	f := newFleet(t, "counter", "depot")
+// slowDownLinks puts slow links between all hosts and the store.
+func (f *fleet) slowDownLinks() {
+	f.t.Helper()
 	for _, h := range f.hosts {
 		link, err := platformtest.NewLink(f.store.Address(), slowLink)
 		if err != nil {
-			t.Fatal(err)
+			f.t.Fatal(err)
 		}
-		t.Cleanup(link.Close)
+		f.t.Cleanup(link.Close)
 		h.store = link.Address()
+	}
+}
+
+// Guards against daemons that stay at an old version for good, because the versions after
+// it, which a watch returns all in full, take longer on the hosts' links than a watch may.
+func TestLargeVersionsInSeriesArriveOnSlowLinks(t *testing.T) {
+	f := newFleet(t, "counter", "depot")
+	f.slowDownLinks()
+	for _, h := range f.hosts {
 		f.putServer(h, "ready")
 	}
 	f.putLargeConfiguration(1)
@@ -109,3 +117,18 @@
 	f.putConfiguration("r2", f.routes("counter")...)
 	f.eventually(func() bool { return f.runsVersion(2) })
 }
+
+// Guards against versions that are late by as long as a listing takes: eight entries of 1 MB
+// of another writer take 15 s on a slow link.
+func TestVersionsArriveDuringLongListings(t *testing.T) {
+	f := newFleet(t, "counter", "counter", "depot")
+	f.slowDownLinks()
+	f.startServing()
+	time.Sleep(time.Second)
+	for i := range 8 {
+		f.store.Put(fmt.Sprint(platformtest.ServerPrefix, "other-", i), foreignValue(t))
+	}
+	time.Sleep(3 * time.Second)
+	f.putConfiguration("r2", f.routes("depot")...)
+	f.eventually(func() bool { return f.runsVersion(2) })
+}
