soak: clients pipeline long requests

Ruled out: pipelined orders, which clients do not send. Before: no pipelines. A request behind others counts as read once it has reached a backend server, as the users' rule says.

--- a/bench/soak/longwork.go
+++ b/bench/soak/longwork.go
@@ -40,11 +40,18 @@
 const (
 	longPrefix   = "/long/"
 	calledPrefix = "/called/"
+	// browsePrefix is the prefix of long requests that clients pipeline.
+	browsePrefix = "/browse/"
 	// callMark precedes, in the ID of a call, the host whose backend server makes it. What
 	// precedes it is the ID of the request that makes the call.
 	callMark = ".from-"
 )
 
+// isLong reports whether a request is handled by runLong.
+func isLong(target string) bool {
+	return strings.HasPrefix(target, longPrefix) || strings.HasPrefix(target, calledPrefix) || strings.HasPrefix(target, browsePrefix)
+}
+
 // longClient sends long requests until the context ends, on one connection if
 // keepsConnection is set.
 func (w *world) longClient(ctx context.Context, h *host, keepsConnection bool) {
--- a/bench/soak/recorder.go
+++ b/bench/soak/recorder.go
@@ -40,12 +40,13 @@
 	// timeout is set for long requests and calls, and isCall for calls.
 	timeout time.Duration
 	isCall  bool
-	// reused is set if the call was sent on a connection that had carried others.
-	reused bool
-	status int
-	body   []byte
-	signed bool
-	err    error
+	// reused is set if the call was sent on a connection that had carried others, and behind
+	// if it was sent behind others that had not been answered.
+	reused, behind bool
+	status         int
+	body           []byte
+	signed         bool
+	err            error
 	// moved holds the services that may run the call; nil unless the call's route is the
 	// one that moves between services.
 	moved map[string]bool
@@ -224,7 +225,7 @@
 		broken = append(broken, "ran twice")
 	}
 	broken = append(broken, c.brokenVersions(c.outcome(executed))...)
-	met := c.undisturbed && (c.stopping || c.duringStop && c.wasRead(executed)) && !c.mayBeCutOff(arrivals)
+	met := c.undisturbed && (c.stopping && !c.behind || (c.stopping || c.duringStop) && c.wasRead(executed)) && !c.mayBeCutOff(arrivals)
 	switch {
 	case c.err != nil:
 		if met {
@@ -248,10 +249,11 @@
 
 // wasRead reports whether the daemon must have read a call that began while it was
 // stopping and got no response. When a daemon closes a listener or a connection, it may
-// cut off a call that has just been sent and that it has not read.
+// cut off a call that has just been sent and that it has not read. One that was sent behind
+// others counts as not read unless it has reached a backend server.
 func (c *call) wasRead(executed int) bool {
 	if isDialError(c.err) {
 		return false
 	}
-	return executed > 0 || c.duration > lossSlack
+	return executed > 0 || !c.behind && c.duration > lossSlack
 }
--- a/bench/soak/sender.go
+++ b/bench/soak/sender.go
@@ -46,8 +46,15 @@
 	one.began = time.Now()
 	stoppedBefore := h.stoppingSince()
 	reply, reused, err := by.send(ctx, method, one)
-	w.recorder.known.record(h.name, &reply, time.Now())
-	one.duration, one.err, one.reused = time.Since(one.began), err, reused
+	one.reused = reused
+	w.finish(h, one, &reply, err, stoppedBefore)
+}
+
+// finish sets the outcome of a call and the stop that it meets. stoppedBefore is when the
+// host's daemon had been asked to stop as the call began, or zero.
+func (w *world) finish(h *host, one *call, reply *platformtest.Response, err error, stoppedBefore time.Time) {
+	w.recorder.known.record(h.name, reply, time.Now())
+	one.duration, one.err = time.Since(one.began), err
 	one.status, one.body, one.signed = reply.Status, []byte(reply.Body), reply.Signature != ""
 	one.undisturbed = w.undisturbed(h, one.began)
 	one.stoppedAt, one.duringStop = stoppedBefore, !stoppedBefore.IsZero()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -111,6 +111,7 @@
 		for _, keepsConnection := range []bool{true, false} {
 			clients.Go(func() { w.longClient(ctx, h, keepsConnection) })
 		}
+		clients.Go(func() { w.pipeliningClient(ctx, h) })
 	}
 	if options.Versions {
 		clients.Go(func() { w.publishVersions(ctx, options.Seed) })
--- a/bench/soak/versions.go
+++ b/bench/soak/versions.go
@@ -220,6 +220,7 @@
 			platformtest.Route("order", "/order/", "unsafe", shop, 2*time.Second, 1),
 			platformtest.Route("moved", "/moved/", "safe", moved, 2*time.Second, 2),
 			platformtest.Route("long", longPrefix, "unsafe", shop, longTimeout, 1),
+			platformtest.Route("browse", browsePrefix, "safe", shop, longTimeout, 2),
 			platformtest.Route("called", calledPrefix, "unsafe", shop, longTimeout, 1),
 		}
 		for r := addedRoute(max(1, v-addedLifetime+1)); versionID(r) <= v; r++ {
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -208,7 +207,7 @@
 		return
 	}
 	defer w.recorder.recordRun(id, one)()
-	if strings.HasPrefix(r.RequestURI, longPrefix) || strings.HasPrefix(r.RequestURI, calledPrefix) {
+	if isLong(r.RequestURI) {
 		w.runLong(h, name, id, out, r)
 		return
 	}
