http1: the last response gives back its memory before the connection closes

Since the writer waited, after the last response, for the read loop, which may discard the rest of an upload for seconds, and kept the response's memory and its place on the link until then. Ruled out: a goroutine of its own for the close, which is not needed once the queue is empty. Before: released after the close. After: released after the response is sent, as for other responses. io/http1 and io/ingress pass with the race detector.

--- a/io/http1/server_conn.go
+++ b/io/http1/server_conn.go
@@ -362,42 +362,48 @@
 	open := true
 	for next := range c.pipeline.queue {
 		response := <-next
-		open = open && c.respond(response)
+		last := false
+		if open {
+			last = c.endsPipeline(response)
+			if open = c.respond(response, last); !open {
+				_ = c.conn.Close()
+			}
+		}
 		if response != nil {
 			response.Booking.Close()
 			response.Held.Release()
 		}
 		c.pipeline.done()
 		c.activity.add(-1)
+		if open && last {
+			c.closeAfterLast()
+			return
+		}
 	}
 }
 
-// respond sends a response and reports whether the connection is still open. A response
-// with "Connection: close" ends the pipeline instead of the connection: requests behind it
-// have begun, and their responses would be lost. The last of these closes the connection.
-func (c *serverConn) respond(response *Response) bool {
+// endsPipeline reports whether the response is the last one of the connection. One with
+// "Connection: close" ends the pipeline instead of the connection: requests behind it have
+// begun, and their responses would be lost. The last of these closes the connection.
+func (c *serverConn) endsPipeline(response *Response) bool {
 	if response != nil && response.Header.Get("Connection") == "close" {
 		c.pipeline.end()
 		c.hasUnreadInput.Store(true)
 	}
-	last := c.pipeline.isLast()
+	return c.pipeline.isLast()
+}
+
+// respond sends a response and reports whether the connection is still usable.
+func (c *serverConn) respond(response *Response, last bool) bool {
 	switch {
 	case response == nil, last && response.Status == http.StatusContinue:
-		_ = c.conn.Close()
 		return false
 	case last:
 		response.Header.Set("Connection", "close")
 	default:
 		response.Header.Del("Connection")
 	}
-	if c.send(response) != nil {
-		_ = c.conn.Close()
-		return false
-	}
-	if last {
-		c.closeAfterLast()
-	}
-	return !last
+	return c.send(response) == nil
 }
 
 // send writes the response. The time allowed for it grows with the body.
