sidecar: the test of large foreign entries leaves time for decoding them

Traced: each of the five daemons decodes 11 MB, in 68 ms, and 1.0 s with the race detector (trial), beside the other packages' tests. The start has no documented limit. Ruled out: the daemons; the same subtest takes 7.1 s in all, alone, with two waits of a second and the stop. Before: 4 s for the start and for each version; 24 writes of one key. After: 30 s for each, which tells "late by decoding" from "never": on "while serving" fails after 30 s, as before after 4. Eight writes of one key do what 24 did. The other tests keep their 4 s.

--- a/sidecar/entries_test.go
+++ b/sidecar/entries_test.go
@@ -53,6 +53,9 @@
 // with all of them is longer than a daemon reads, from the store or from another daemon.
 func TestLargeForeignEntriesDoNotStopVersions(t *testing.T) {
 	const entries = 8
+	// limit is far above the documented time of a version: a daemon decodes all entries, a
+	// second of work with the race detector, and without the fix no version ever arrives.
+	const limit = 30 * time.Second
 	put := func(f *fleet, key string) { f.store.Put(platformtest.ServerPrefix+key, foreignValue(f.t)) }
 	for _, test := range []struct {
 		name string
@@ -70,7 +73,7 @@
 			}
 		}},
 		{"one key again and again", func(*fleet) {}, func(f *fleet) {
-			for range 3 * entries {
+			for range entries {
 				put(f, "other")
 			}
 		}},
@@ -78,14 +81,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newFleet(t, "counter", "counter", "counter", "depot", "depot")
 			test.before(f)
-			f.startServing()
+			f.startServingWithin(limit)
 			// The readers of the store are known and the others follow them.
 			time.Sleep(time.Second)
 			test.after(f)
 			f.putConfiguration("r2", f.routes("depot")...)
-			f.eventually(func() bool { return f.runsVersion(2) })
+			f.within(limit, func() bool { return f.runsVersion(2) })
 			f.putConfiguration("r3", f.routes("counter")...)
-			f.eventually(func() bool { return f.runsVersion(3) })
+			f.within(limit, func() bool { return f.runsVersion(3) })
 		})
 	}
 }
--- a/sidecar/fleet_test.go
+++ b/sidecar/fleet_test.go
@@ -154,6 +154,12 @@
 // startServing starts all hosts with a safe route /stock/ and an unsafe route
 // /orders/ to the service counter, and waits until they are ready.
 func (f *fleet) startServing() {
+	f.t.Helper()
+	f.startServingWithin(4 * time.Second)
+}
+
+// startServingWithin is startServing with a limit for the start of each host.
+func (f *fleet) startServingWithin(limit time.Duration) {
 	f.t.Helper()
 	f.putConfiguration("r1", f.routes("counter")...)
 	for _, h := range f.hosts {
@@ -161,7 +167,7 @@
 	}
 	f.start(f.hosts...)
 	for _, h := range f.hosts {
-		f.eventually(func() bool { return f.ready(h) && len(h.listedServers()) == len(f.hosts) })
+		f.within(limit, func() bool { return f.ready(h) && len(h.listedServers()) == len(f.hosts) })
 	}
 }
 
@@ -185,7 +191,13 @@
 // limits.
 func (f *fleet) eventually(condition func() bool) {
 	f.t.Helper()
-	for deadline := time.Now().Add(4 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+	f.within(4*time.Second, condition)
+}
+
+// within waits for a condition that has to hold within the given time.
+func (f *fleet) within(limit time.Duration, condition func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		if condition() {
 			return
 		}
