--- a/review/_rig3/era.go
+++ b/review/_rig3/era.go
@@ -26,6 +26,9 @@
 // configuration returns a configuration whose route /move/ leads to the service.
 func configuration(version int, service string, services ...string) map[string]any {
 	resources := []any{
+		map[string]any{"resource_type": "routes", "metadata": map[string]any{"name": "order"}, "spec": map[string]any{
+			"host": hostName, "prefix": "/order/", "route_type": "unsafe", "service": service, "timeout_s": 1.0, "aim_s": 0.5, "priority": 1, "max_attempts": 2,
+		}},
 		map[string]any{"resource_type": "routes", "metadata": map[string]any{"name": "pull"}, "spec": map[string]any{
 			"host": hostName, "prefix": "/pull/", "route_type": "download", "service": service, "timeout_s": pullTimeout.Seconds(), "aim_s": 1.0, "priority": 2, "max_attempts": 2,
 		}},
@@ -69,19 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	wait := f.traffic(ctx, f.machines, http.MethodGet, "/move/", 200*time.Millisecond, time.Second)
 	time.Sleep(3 * time.Second)
-	saved := f.store.copyNow()
-	f.note("the copy of the store is made at revision %d", saved.revision)
-	time.Sleep(eraCopyAge - eraAway)
-	if trouble {
-		f.note("the store is away at revision %d", f.store.revision())
-		f.store.leave()
-		time.Sleep(eraAway)
-		f.store.comeBack(&saved)
-		f.note("the store is back from the copy, at revision %d, with the next era", f.store.revision())
-	} else {
-		time.Sleep(eraAway)
-	}
-	time.Sleep(stableWindow + 200*time.Millisecond)
+	f.drill(trouble)
 	revision, acked := f.store.put("op/config", configuration(8, "depot", "counter", "depot"))
 	ack := time.Now()
 	if !acked {
@@ -115,3 +106,21 @@
 		late, configApply, lateRuns, len(machines), len(f.machines), lastLate)
 	return verdict{broken: lateRuns > 0, summary: summary}
 }
+
+// drill plays a drill of the store, if there is to be one, and waits until the core is
+// stable again.
+func (f *fleet) drill(trouble bool) {
+	saved := f.store.copyNow()
+	f.note("the copy of the store is made at revision %d", saved.revision)
+	time.Sleep(eraCopyAge - eraAway)
+	if trouble {
+		f.note("the store is away at revision %d", f.store.revision())
+		f.store.leave()
+		time.Sleep(eraAway)
+		f.store.comeBack(&saved)
+		f.note("the store is back from the copy, at revision %d, with the next era", f.store.revision())
+	} else {
+		time.Sleep(eraAway)
+	}
+	time.Sleep(stableWindow + 200*time.Millisecond)
+}
