--- a/review/_rig3/era.go
+++ b/review/_rig3/era.go
@@ -20,12 +20,18 @@
 	eraWatched = 12 * time.Second
 )
 
-// pullTimeout is the timeout of the route of downloads.
-const pullTimeout = 2 * time.Second
+// The timeouts of the routes of downloads.
+const (
+	pullTimeout      = 2 * time.Second
+	catalogueTimeout = 800 * time.Millisecond
+)
 
 // configuration returns a configuration whose route /move/ leads to the service.
 func configuration(version int, service string, services ...string) map[string]any {
 	resources := []any{
+		map[string]any{"resource_type": "routes", "metadata": map[string]any{"name": "catalogue"}, "spec": map[string]any{
+			"host": hostName, "prefix": "/catalogue/", "route_type": "download", "service": service, "timeout_s": catalogueTimeout.Seconds(), "aim_s": 0.4, "priority": 2, "max_attempts": 2,
+		}},
 		map[string]any{"resource_type": "routes", "metadata": map[string]any{"name": "order"}, "spec": map[string]any{
 			"host": hostName, "prefix": "/order/", "route_type": "unsafe", "service": service, "timeout_s": 1.0, "aim_s": 0.5, "priority": 1, "max_attempts": 2,
 		}},
