--- a/review/_rig3/fleet.go
+++ b/review/_rig3/fleet.go
@@ -23,7 +23,6 @@
 	headerRequestID = "X-Marjoramsaddle-Request-Id"
 	heartbeat       = 1500 * time.Millisecond
 	targetSlots     = 18
-	workTime        = 20 * time.Millisecond
 	daemonProgram   = "target/marjoramsaddle-sidecar"
 	// The bounds of the settings, those of the example in DEPLOY.md.
 	stableWindow = 3 * time.Second
@@ -72,6 +71,8 @@
 	machines []*machine
 	began    time.Time
 	record   *os.File
+	// workTime is how long a target works on a request.
+	workTime time.Duration
 	// writeSettings writes the settings files and opens the logs.
 	writeSettings func()
 
@@ -99,7 +100,7 @@
 func newFleet(record *os.File, specs []spec) *fleet {
 	folder, err := os.MkdirTemp("", "review3-")
 	cannotRun(err)
-	f := &fleet{folder: folder, record: record, began: time.Now(), network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))}
+	f := &fleet{workTime: 20 * time.Millisecond, folder: folder, record: record, began: time.Now(), network: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))}
 	f.port = f.freePort(len(specs))
 	f.store, err = startStore(f.network + ".250:0")
 	cannotRun(err)
--- a/review/_rig3/target.go
+++ b/review/_rig3/target.go
@@ -126,7 +126,7 @@
 	}
 	t.f.addRun(run{id: requestID, target: t.id, service: t.service, path: r.URL.Path, caller: r.Header.Get("X-Marjoramsaddle-Caller-Service"), at: time.Now()})
 	select {
-	case <-time.After(workTime):
+	case <-time.After(t.f.workTime):
 	case <-r.Context().Done():
 		return
 	}
