platform, sidecar: the era of the store is read and logged

Nothing reads the header Store-Era.

Ruled out: a log line for each call; a daemon that follows the store makes two a second.

The listings arrive and the copy refuses them, so the fault is in the order of the copy's states.

--- a/core/mirror/mirror.go
+++ b/core/mirror/mirror.go
@@ -38,6 +38,10 @@
 // Revision is the number of a change of the store. Zero precedes every change.
 type Revision uint64
 
+// Era counts how often the store has come back from a copy. It then lacks its latest
+// changes and gives out their revisions again. Zero is the era of a store that names none.
+type Era uint64
+
 // Item is a key of the store with its value, or the deletion of a key.
 type Item struct {
 	Key      string
@@ -56,6 +60,7 @@
 type Page struct {
 	Items []Item
 	More  bool
+	Era   Era
 	AsOf  Revision
 }
 
@@ -63,6 +68,7 @@
 type Changes struct {
 	After  Revision
 	Events []Item
+	Era    Era
 	AsOf   Revision
 	// Whole is set when Events holds all items of the store instead.
 	Whole bool
--- a/sidecar/read_store.go
+++ b/sidecar/read_store.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	d.recordStoreEra(changes.Era, changes.AsOf)
 	applied, err := d.applyChanges(changes, d.storeState.recordStoreRead)
 	if err != nil {
 		return err
@@ -55,6 +56,16 @@
 	return nil
 }
 
+// recordStoreEra logs that the store has come back from a copy since the last response.
+func (d *Daemon) recordStoreEra(era mirror.Era, asOf mirror.Revision) {
+	if era == d.storeEra {
+		return
+	}
+	d.log.Info("era of the store", zap.Uint64("era_before", uint64(d.storeEra)), zap.Uint64("revision_before", uint64(d.mirror.AsOf())),
+		zap.Uint64("era", uint64(era)), zap.Uint64("revision", uint64(asOf)))
+	d.storeEra = era
+}
+
 // announceRead logs how many changes the store has returned, notifies other daemons, and
 // waits for further changes.
 func (d *Daemon) announceRead(ctx context.Context, message string, changes int, began id.Instant) {
@@ -118,6 +129,7 @@
 		if err != nil {
 			return err
 		}
+		d.recordStoreEra(page.Era, page.AsOf)
 		complete = d.listing.add(&page, d.now())
 		// Others need not take over from a daemon that makes progress.
 		d.lastReadAt.Store(int64(d.now()))
@@ -127,6 +139,9 @@
 	}
 	listed := d.listing
 	d.listing = listing{}
+	if asOf := d.mirror.AsOf(); listed.asOf < asOf {
+		d.log.Info("listing ignored", zap.Uint64("listed", uint64(listed.asOf)), zap.Uint64("revision", uint64(asOf)))
+	}
 	applied, err := d.applyChanges(mirror.Changes{Events: listed.items, AsOf: listed.asOf, Whole: true}, d.storeState.recordStoreRead)
 	if err != nil {
 		return err
