sidecar: tests of listings of two eras, and of responses of an earlier one

Cause: the scripts of TestStoreBackFromCopy play neither a drill within a listing nor a response without the header Store-Era after others that had it.

Before: both rules stand since without a test of their own.

--- a/sidecar/read_store_test.go
+++ b/sidecar/read_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/platform/platformtest"
 )
 
@@ -132,3 +134,59 @@
 	f.putConfiguration("r2", f.routes("depot")...)
 	f.eventually(func() bool { return f.runsVersion(2) })
 }
+
+// Guards against a listing whose pages are of two eras of the store: it would have items
+// that the store never had together.
+func TestListingIsOfOneEra(t *testing.T) {
+	is := is.New(t)
+	page := func(era mirror.Era, key string) *mirror.Page {
+		return &mirror.Page{Items: []mirror.Item{{Key: key, Revision: 3}}, More: true, AsOf: mirror.Position{Era: era, Revision: 5}}
+	}
+	var l listing
+	complete, err := l.add(page(1, "a"), 1)
+	is.NoErr(err)
+	is.True(!complete)
+	_, err = l.add(page(2, "b"), 2)
+	is.True(errors.Is(err, errNextEra))
+	is.Equal(len(l.items), 1)
+}
+
+// Guards against a daemon that calls the store without pause, or gives up its copy, while
+// responses are of an earlier era than the copy.
+func TestResponsesOfEarlierEra(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, "counter")
+	var earlier atomic.Bool
+	var calls atomic.Int64
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		response, err := http.Get("http://" + f.store.Address() + r.URL.String())
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer func() { _ = response.Body.Close() }()
+		if !earlier.Load() {
+			w.Header().Set("Store-Era", response.Header.Get("Store-Era"))
+		}
+		w.WriteHeader(response.StatusCode)
+		_, _ = io.Copy(w, response.Body)
+	}))
+	t.Cleanup(store.Close)
+	h := f.hosts[0]
+	h.store = strings.TrimPrefix(store.URL, "http://")
+	f.putServer(h, "ready")
+	f.putConfiguration("r1", f.routes("counter")...)
+	f.start(h)
+	f.eventually(func() bool { return f.runsVersion(1) })
+	earlier.Store(true)
+	f.putConfiguration("r2", f.routes("counter")...)
+	before := calls.Load()
+	const watched = 2 * time.Second
+	time.Sleep(watched)
+	// The pause between failed calls is half of maxBackoff or more.
+	is.True(calls.Load()-before < 5+int64(2*watched/maxBackoff))
+	is.True(f.runsVersion(1))
+	earlier.Store(false)
+	f.eventually(func() bool { return f.runsVersion(2) })
+}
