sidecar: a beacon of a daemon without a copy is no news of the store

Callers saw: tests only. A backend server whose entry was removed within two seconds of a daemon's start was used by it for up to 1.8 s more.

Cause: two daemons that start are both at the zero position, so one took its copy for as current as that of the other, whose beacon says 2^32 ms. The first listing then counted as the end of an outage of 49.7 days, after which entries may have lapsed.

Why this works: without a position there is no copy that could have been current.

Before: TestPeerWithoutCopyIsNoOutage failed. After: it passes; three test programs side by side with the race detector pass.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -228,12 +228,13 @@
 		return
 	}
 	d.lag.recordAnnouncement(beacon.AsOf, d.mirror.AsOf(), d.now())
-	if beacon.AsOf.Compare(d.mirror.AsOf()) <= 0 {
+	switch {
+	case beacon.AsOf.Compare(d.mirror.AsOf()) > 0:
+		setSignal(d.newerRevision)
+	case beacon.AsOf != mirror.Position{}:
 		// This copy is at least as new as the sender's, so it was current when the
 		// sender's was.
 		d.storeState.recordCurrentAt(d.now().Add(-beacon.StoreAge))
-	} else {
-		setSignal(d.newerRevision)
 	}
 	nearPeriod, farPeriod := d.members.reportPeriods()
 	if beacon.Domain == d.settings.Load().Domain {
--- a/sidecar/state_test.go
+++ b/sidecar/state_test.go
@@ -12,6 +12,7 @@
 	"marjoramsaddle/core/id"
 	"marjoramsaddle/core/mirror"
 	"marjoramsaddle/core/placement"
+	"marjoramsaddle/io/control"
 	"marjoramsaddle/platform"
 	"marjoramsaddle/platform/platformtest"
 )
@@ -60,6 +61,19 @@
 	}
 }
 
+// Guards against a daemon that starts beside another one without a copy, takes the beacon of
+// that one for news of the store, and its own first copy for the end of an outage: it went
+// on using a backend server that had left.
+func TestPeerWithoutCopyIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	d := newIdleDaemon(t)
+	d.handleBeacon(&control.Beacon{
+		Address: "127.0.0.2:2", Domain: "reduit", Incarnation: 1, Sequence: 1, StoreAge: time.Since(time.Unix(0, 0)), ReadAge: time.Hour, Received: d.now(),
+	})
+	d.storeState.recordCurrentAt(d.now())
+	is.Equal(d.storeState.lapseWindowEnd, id.Instant(0))
+}
+
 // Guards against a daemon that reports itself ready and accepts requests with a
 // configuration but without the backend servers of the same listing: on a busy host
 // it responded with 503.
