soak: the store comes back from a copy

Ruled out: adding it to the faults of all runs, whose draws would change for the seeds that are kept; writing the lost changes one by one with pauses.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -17,7 +17,7 @@
 // Relays in front of each daemon and the store delay, stall (in one or both
 // directions), silence or reset connections, or drop the beacons between a failure domain
 // and the others. Signals pause, kill and stop processes.
-// The store refuses requests and loses its history. Backend servers reject requests,
+// The store refuses requests, loses its history, and comes back from a copy. Backend servers reject requests,
 // lose responses, announce limits and drain. Failure domains are evacuated. Versions are
 // published singly and in series, and daemons are stopped singly and one after the other.
 // Faults overlap. Half of the clients keep their connections until the daemon closes them.
@@ -84,6 +84,8 @@
 	// Versions publishes versions all the time and only injects faults that may delay a
 	// version. Each host is probed for routes that versions have just added or dropped.
 	Versions bool
+	// Drills adds drills, in which the store comes back from a copy, to the faults.
+	Drills bool
 }
 
 // Run starts a fleet, injects the faults of one seed and checks the guarantees.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -30,10 +31,14 @@
 	return program
 }
 
-// versionsMark is the third field of the seeds of runs for versions. Their fleets have
-// versionHosts hosts, and their configurations versionIdleRoutes unused routes.
+// The third field of a seed has versionsMark for runs for versions, and drillsMark for
+// runs with drills of the store, or both, with marksSeparator between them. The fleets of
+// runs for versions have versionHosts hosts, and their configurations versionIdleRoutes
+// unused routes.
 const (
 	versionsMark      = "versions"
+	drillsMark        = "drills"
+	marksSeparator    = "+"
 	versionHosts      = 13
 	versionIdleRoutes = 300
 )
@@ -56,14 +61,18 @@
 	is.NoErr(err)
 	for line := range strings.Lines(string(data)) {
 		fields := strings.Fields(line)
-		if len(fields) < 3 || fields[0] == "#" || (fields[2] == versionsMark) != versions {
+		if len(fields) < 3 || fields[0] == "#" {
+			continue
+		}
+		marks := strings.Split(fields[2], marksSeparator)
+		if slices.Contains(marks, versionsMark) != versions {
 			continue
 		}
 		seed, err := strconv.ParseUint(fields[0], 10, 64)
 		is.NoErr(err)
 		duration, err := time.ParseDuration(fields[1])
 		is.NoErr(err)
-		options := Options{Program: program, Seed: seed, Duration: duration}
+		options := Options{Program: program, Seed: seed, Duration: duration, Drills: slices.Contains(marks, drillsMark)}
 		if versions {
 			options.Versions, options.Hosts, options.IdleRoutes = true, versionHosts, versionIdleRoutes
 		}
--- a/bench/soak/versionfaults.go
+++ b/bench/soak/versionfaults.go
@@ -47,15 +47,21 @@
 
 // faultsOf returns the faults that a run injects.
 func faultsOf(options *Options) []fault {
-	if !options.Versions {
-		return faults
+	var kept []fault
+	if options.Versions {
+		kept = slices.Clone(versionFaults)
 	}
-	kept := slices.Clone(versionFaults)
 	for _, one := range faults {
-		if one.versions {
+		if !options.Versions || one.versions {
 			kept = append(kept, one)
 		}
 	}
+	// Drills are as frequent as an eighth of all other faults.
+	for range len(kept) / 8 {
+		if options.Drills {
+			kept = append(kept, drillFault)
+		}
+	}
 	return kept
 }
 
--- a/cmd/marjoramsaddle-bench/soak.go
+++ b/cmd/marjoramsaddle-bench/soak.go
@@ -19,7 +19,7 @@
 func soakCommand() *cobra.Command {
 	var first uint64
 	var seeds, atOnce, hosts, idleRoutes int
-	var versions, keepLogs bool
+	var versions, drills, keepLogs bool
 	var duration time.Duration
 	var logs string
 	cmd := &cobra.Command{
@@ -41,7 +41,7 @@
 					if err := os.MkdirAll(folder, 0o700); err != nil {
 						return err
 					}
-					reports[i], err = soak.Run(ctx, soak.Options{Program: program, Folder: folder, Seed: seed, Hosts: hosts, Duration: duration, IdleRoutes: idleRoutes, Versions: versions})
+					reports[i], err = soak.Run(ctx, soak.Options{Program: program, Folder: folder, Seed: seed, Hosts: hosts, Duration: duration, IdleRoutes: idleRoutes, Versions: versions, Drills: drills})
 					if err == nil && len(reports[i].Broken) == 0 && !keepLogs {
 						return os.RemoveAll(folder)
 					}
@@ -66,6 +66,7 @@
 	cmd.Flags().IntVar(&seeds, "seeds", 1, "number of seeds")
 	cmd.Flags().IntVar(&atOnce, "at-once", 3, "seeds played at the same time")
 	cmd.Flags().BoolVar(&versions, "versions", false, "publish versions all the time and inject only what may delay them")
+	cmd.Flags().BoolVar(&drills, "drills", false, "let the store come back from a copy as well")
 	cmd.Flags().IntVar(&idleRoutes, "idle-routes", 0, "routes in each configuration that no client uses")
 	cmd.Flags().IntVar(&hosts, "hosts", 6, "hosts of each seed, 6 to 200")
 	cmd.Flags().BoolVar(&keepLogs, "keep-logs", false, "keep the logs of seeds that pass as well")
