sidecar, control: tests share their stand-ins of the store's relay and of a peer

Cause: two pairs of new and older tests set up the same server in the same lines, and the function that runs the lines of a drill needed scrolling.

After: go test ./io/control and, with the race detector, TestStoreBackFromCopy, TestResponsesOfEarlierEra and TestStoreIsListedAfterCutWatches pass. No check changes.

--- a/io/control/delta_test.go
+++ b/io/control/delta_test.go
@@ -34,6 +34,22 @@
 	return out.Bytes()
 }
 
+// serveChanges serves the changes of a copy, and returns a function that fetches those that
+// a follower lacks.
+func serveChanges(t *testing.T, source *mirror.Mirror) (*Handler, func(follower *mirror.Mirror) (mirror.Changes, error)) {
+	t.Helper()
+	handler := NewHandler(source, func() time.Duration { return 0 })
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
+	t.Cleanup(pool.CloseIdle)
+	return handler, func(follower *mirror.Mirror) (mirror.Changes, error) {
+		query := Query{After: follower.AsOf(), Held: follower.LargeValues()}
+		changes, _, err := NewClient(pool).Changes(context.Background(), strings.TrimPrefix(server.URL, "http://"), query)
+		return changes, err
+	}
+}
+
 // Guards against a series of changes to a large configuration filling the links of
 // all hosts. A follower that holds a known version gets a delta, also across versions
 // that it has missed. Otherwise it gets the whole value.
@@ -41,15 +57,10 @@
 	is := is.New(t)
 	source := mirror.New()
 	source.Replace([]mirror.Item{{Key: "op", Value: configuration(1), Revision: 1}}, firstEra(1))
-	handler := NewHandler(source, func() time.Duration { return 0 })
-	server := httptest.NewServer(handler)
-	defer server.Close()
-	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
-	defer pool.CloseIdle()
-	address := strings.TrimPrefix(server.URL, "http://")
+	handler, changesAfter := serveChanges(t, source)
 	follower := mirror.New()
 	follow := func() {
-		changes, _, err := NewClient(pool).Changes(context.Background(), address, Query{After: follower.AsOf(), Held: follower.LargeValues()})
+		changes, err := changesAfter(follower)
 		is.NoErr(err)
 		_, err = follower.Apply(changes)
 		is.NoErr(err)
@@ -96,19 +107,14 @@
 func TestFollowerCrossesEras(t *testing.T) {
 	is := is.New(t)
 	source, follower := mirror.New(), mirror.New()
-	handler := NewHandler(source, func() time.Duration { return 0 })
-	server := httptest.NewServer(handler)
-	defer server.Close()
-	pool := http1.NewPool(http1.PoolOptions{DialTimeout: time.Second, IdleTimeout: time.Second, MaxBodyBytes: 1 << 20})
-	defer pool.CloseIdle()
-	address := strings.TrimPrefix(server.URL, "http://")
+	handler, changesAfter := serveChanges(t, source)
 	secondEra := mirror.Position{Era: 2, Revision: 5}
 	for _, test := range []struct {
 		at      mirror.Position
 		timeout int
 	}{{firstEra(5), 1}, {secondEra, 2}} {
 		source.Replace([]mirror.Item{{Key: "op", Value: configuration(test.timeout), Revision: 5}}, test.at)
-		changes, _, err := NewClient(pool).Changes(context.Background(), address, Query{After: follower.AsOf(), Held: follower.LargeValues()})
+		changes, err := changesAfter(follower)
 		is.NoErr(err)
 		_, err = follower.Apply(changes)
 		is.NoErr(err)
--- a/sidecar/drill_test.go
+++ b/sidecar/drill_test.go
@@ -26,14 +26,13 @@
 	deltaRoutes = 150
 	// parallelScripts is the number of scripts that are played at the same time.
 	parallelScripts = 4
+	// drainDeadline is the documented time within which a backend server that has left gets
+	// no more requests.
+	drainDeadline = 2 * time.Second
 	// observed is how long what must hold throughout is checked.
 	observed = time.Second
 )
 
-// drainDeadline is the documented time within which a backend server that has left gets no
-// more requests.
-const drainDeadline = 2 * time.Second
-
 // drill plays a script in which the store comes back from a copy. The line "heartbeats"
 // writes entries of backend servers, which the drill takes back.
 type drill struct {
@@ -92,6 +91,29 @@
 	if len(line) > 1 {
 		number, _ = strconv.Atoi(line[1])
 	}
+	if check, found := d.checks()[line[0]]; found {
+		return check(number)
+	}
+	d.act(line, number)
+	return ""
+}
+
+// checks returns the lines that check something, which may name a host or a version.
+func (d *drill) checks() map[string]func(number int) string {
+	return map[string]func(number int) string{
+		"revisions":         func(int) string { return d.compareRevisions() },
+		"expect_version":    func(number int) string { return d.expectVersion(id.Version(number)) },
+		"expect_gone":       func(number int) string { return d.expectGone(d.hosts[number]) },
+		"expect_used":       func(number int) string { return d.expectUsed(d.hosts[number]) },
+		"watch_use":         func(number int) string { return d.watchUse(d.hosts[number]) },
+		"watch_evacuations": func(int) string { return d.watchEvacuations() },
+		"expect_listings":   func(int) string { return d.expectListings() },
+	}
+}
+
+// act runs a line that changes something.
+func (d *drill) act(line []string, number int) {
+	d.t.Helper()
 	switch line[0] {
 	case "copy":
 		d.snapshot = d.store.Snapshot()
@@ -121,24 +143,9 @@
 		d.store.Put(platformtest.EvacuationPrefix+line[1], map[string]any{})
 	case "remove":
 		d.store.Delete(platformtest.ServerPrefix + d.hosts[number].backend.Name)
-	case "revisions":
-		return d.compareRevisions()
-	case "expect_version":
-		return d.expectVersion(id.Version(number))
-	case "expect_gone":
-		return d.expectGone(d.hosts[number])
-	case "expect_used":
-		return d.expectUsed(d.hosts[number])
-	case "watch_use":
-		return d.watchUse(d.hosts[number])
-	case "watch_evacuations":
-		return d.watchEvacuations()
-	case "expect_listings":
-		return d.expectListings()
 	default:
 		d.t.Fatalf("unknown line %q", line)
 	}
-	return ""
 }
 
 // restart ends the daemons of the hosts and starts them again.
@@ -246,7 +253,7 @@
 // expectListings counts the listings since the store is back. Any daemon may read it then,
 // and one listing brings a daemon up to date.
 func (d *drill) expectListings() string {
-	const pagesOfListing = 2
+	const pagesOfListing = 2 // Five items on pages of three.
 	if pages := d.store.PageCount() - d.pagesBefore; pages > len(d.hosts)*pagesOfListing {
 		return fmt.Sprintf("%d pages were listed", pages)
 	}
--- a/sidecar/read_store_test.go
+++ b/sidecar/read_store_test.go
@@ -96,10 +96,10 @@
 	is.New(t).Equal(f.store.PageCount(), 3)
 }
 
-// Guards against a daemon that repeats a watch for good whose response always ends early.
-func TestStoreIsListedAfterCutWatches(t *testing.T) {
-	f := newFleet(t, "counter")
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+// relayStore passes calls on to the store, lets respond write the responses, and returns the
+// address at which it listens.
+func (f *fleet) relayStore(respond func(w http.ResponseWriter, response *http.Response, body []byte)) string {
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		response, err := http.Get("http://" + f.store.Address() + r.URL.String())
 		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -107,14 +107,23 @@
 		}
 		defer func() { _ = response.Body.Close() }()
 		body, _ := io.ReadAll(response.Body)
+		respond(w, response, body)
+	}))
+	f.t.Cleanup(relay.Close)
+	return strings.TrimPrefix(relay.URL, "http://")
+}
+
+// Guards against a daemon that repeats a watch for good whose response always ends early.
+func TestStoreIsListedAfterCutWatches(t *testing.T) {
+	f := newFleet(t, "counter")
+	store := f.relayStore(func(w http.ResponseWriter, _ *http.Response, body []byte) {
 		if bytes.Contains(body, []byte(`"events":[{`)) {
 			w.Header().Set("Content-Length", fmt.Sprint(len(body)+1))
 		}
 		_, _ = w.Write(body)
-	}))
-	t.Cleanup(store.Close)
+	})
 	h := f.hosts[0]
-	h.store = strings.TrimPrefix(store.URL, "http://")
+	h.store = store
 	f.putServer(h, "ready")
 	f.putConfiguration("r1", f.routes("counter")...)
 	f.start(h)
@@ -161,23 +170,16 @@
 	f := newFleet(t, "counter")
 	var earlier atomic.Bool
 	var calls atomic.Int64
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	store := f.relayStore(func(w http.ResponseWriter, response *http.Response, body []byte) {
 		calls.Add(1)
-		response, err := http.Get("http://" + f.store.Address() + r.URL.String())
-		if err != nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		defer func() { _ = response.Body.Close() }()
 		if !earlier.Load() {
 			w.Header().Set("Store-Era", response.Header.Get("Store-Era"))
 		}
 		w.WriteHeader(response.StatusCode)
-		_, _ = io.Copy(w, response.Body)
-	}))
-	t.Cleanup(store.Close)
+		_, _ = w.Write(body)
+	})
 	h := f.hosts[0]
-	h.store = strings.TrimPrefix(store.URL, "http://")
+	h.store = store
 	f.putServer(h, "ready")
 	f.putConfiguration("r1", f.routes("counter")...)
 	f.start(h)
