--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -287,3 +287,18 @@
 	}
 	is.Equal(atOnce, 2)
 }
+
+// Guards against a position that another daemon sends and that is read as another one: the
+// changes in between would be missing, or an outdated copy would count as newer.
+func TestParsePosition(t *testing.T) {
+	is := is.New(t)
+	for _, position := range []Position{{}, {0, 7}, {2, 153}, {1 << 63, 1<<64 - 1}} {
+		parsed, err := ParsePosition(position.String())
+		is.NoErr(err)
+		is.Equal(parsed, position)
+	}
+	for _, text := range []string{"", "7", ".", "1.", ".7", "1.7.2", "-1.7", "x.7", "1.18446744073709551616"} {
+		_, err := ParsePosition(text)
+		is.True(err != nil)
+	}
+}
